Add the thin request path in separate processes

Cause: nothing ran yet.

Ruled out: ulfius's client and libcurl as HTTP client (one opens a connection per request, the other resends requests by itself); Boost.Beast is used.

--- /dev/null
+++ b/include/skylarkdyke/base/bounded_ring.hpp
@@ -0,0 +1,75 @@
+#ifndef SKYLARKDYKE_BASE_BOUNDED_RING_HPP
+#define SKYLARKDYKE_BASE_BOUNDED_RING_HPP
+
+#include "skylarkdyke/base/clock.hpp"
+
+#include <boost/circular_buffer.hpp>
+#include <condition_variable>
+#include <cstddef>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <utility>
+
+namespace skylarkdyke::base {
+
+/// \brief Bounded queue between the threads of two duties. A full ring refuses
+/// the item and leaves the decision to the sender, so that a slow consumer
+/// cannot make memory grow.
+template <typename Item> class bounded_ring {
+public:
+  /// \param Capacity largest number of waiting items
+  explicit bounded_ring(std::size_t Capacity) : Items(Capacity) {}
+
+  /// \brief Appends an item.
+  /// \return false if the ring is full or closed; the item is then dropped
+  bool tryPush(Item Value) {
+    {
+      const std::lock_guard<std::mutex> Lock(Mutex);
+      if (Closed || Items.full())
+        return false;
+      Items.push_back(std::move(Value));
+    }
+    NotEmpty.notify_one();
+    return true;
+  }
+
+  /// \brief Removes the oldest item, waiting for one until the deadline.
+  /// \return the item, or nothing at the deadline or when the ring is closed
+  /// and empty
+  std::optional<Item> popUntil(boot_time Deadline) {
+    std::unique_lock<std::mutex> Lock(Mutex);
+    NotEmpty.wait_for(Lock, Deadline - boot_clock::now(),
+                      [this] { return Closed || !Items.empty(); });
+    if (Items.empty())
+      return std::nullopt;
+    Item Value = std::move(Items.front());
+    Items.pop_front();
+    return Value;
+  }
+
+  /// \brief Refuses new items and wakes all waiting consumers.
+  void close() {
+    {
+      const std::lock_guard<std::mutex> Lock(Mutex);
+      Closed = true;
+    }
+    NotEmpty.notify_all();
+  }
+
+  /// \brief Number of waiting items.
+  std::size_t size() const {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    return Items.size();
+  }
+
+private:
+  mutable std::mutex Mutex;
+  std::condition_variable NotEmpty;
+  boost::circular_buffer<Item> Items;
+  bool Closed = false;
+};
+
+} // namespace skylarkdyke::base
+
+#endif
--- /dev/null
+++ b/include/skylarkdyke/base/event.hpp
@@ -0,0 +1,38 @@
+#ifndef SKYLARKDYKE_BASE_EVENT_HPP
+#define SKYLARKDYKE_BASE_EVENT_HPP
+
+#include <glog/logging.h>
+
+namespace skylarkdyke::base {
+
+/// \brief Numbered log events. docs/events.md explains each; a unit test keeps
+/// both equal. Numbers are never reused.
+enum class event : int {
+  // 100: lifecycle
+  EntryStarted = 100,
+  EntryReady = 101,
+  EntryLeaving = 102,
+  EntryStopped = 103,
+  // 200: configuration
+  ConfigInstalled = 200,
+  ConfigStaleIgnored = 201,
+  ConfigInvalid = 202,
+  ConfigConflictingContent = 203,
+  // 300: store
+  StoreUnavailable = 300,
+  StoreAvailable = 301,
+};
+
+/// \brief The number of an event as it stands in the log.
+constexpr int number(event Event) { return static_cast<int>(Event); }
+
+} // namespace skylarkdyke::base
+
+/// Logs an event at a glog severity (INFO, WARNING, ERROR) with its number.
+#define SKYLARKDYKE_LOG(SEVERITY, EVENT)                                       \
+  LOG(SEVERITY) << 'E'                                                         \
+                << ::skylarkdyke::base::number(                                \
+                       ::skylarkdyke::base::event::EVENT)                      \
+                << ' ' << #EVENT << ' '
+
+#endif
--- /dev/null
+++ b/include/skylarkdyke/caps/cap.hpp
@@ -0,0 +1,72 @@
+#ifndef SKYLARKDYKE_CAPS_CAP_HPP
+#define SKYLARKDYKE_CAPS_CAP_HPP
+
+#include "skylarkdyke/base/names.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+namespace skylarkdyke::caps {
+
+/// \brief Cap on the requests per second into a region.
+struct region_cap {
+  base::region_name Region;
+
+  friend bool operator<(const region_cap &Left, const region_cap &Right) {
+    return Left.Region < Right.Region;
+  }
+  friend bool operator==(const region_cap &Left, const region_cap &Right) {
+    return Left.Region == Right.Region;
+  }
+};
+
+/// \brief Cap on the bits per second in one direction between two regions.
+struct link_cap {
+  base::region_name From;
+  base::region_name To;
+
+  friend bool operator<(const link_cap &Left, const link_cap &Right) {
+    return std::tie(Left.From, Left.To) < std::tie(Right.From, Right.To);
+  }
+  friend bool operator==(const link_cap &Left, const link_cap &Right) {
+    return Left.From == Right.From && Left.To == Right.To;
+  }
+};
+
+using cap_id = std::variant<region_cap, link_cap>;
+
+/// Window over which every cap holds.
+inline constexpr std::chrono::seconds CapWindow{1};
+
+/// \brief What one request takes from one cap: 1 for a region, bits for a link.
+struct demand {
+  cap_id Cap;
+  std::uint64_t Amount = 0;
+};
+
+/// \brief Asks a peer for a share of a cap. The sender keeps the time at which
+/// it asked.
+struct loan_request {
+  std::uint64_t RequestId = 0;
+  cap_id Cap;
+  /// Units per CapWindow.
+  std::uint64_t Amount = 0;
+};
+
+/// \brief Lends a share of a cap for a limited time.
+struct loan_grant {
+  std::uint64_t RequestId = 0;
+  cap_id Cap;
+  /// Units per CapWindow.
+  std::uint64_t Amount = 0;
+  /// The borrower counts it from the instant of its request, the lender from
+  /// that of the grant.
+  std::chrono::milliseconds Length{0};
+};
+
+} // namespace skylarkdyke::caps
+
+#endif
--- /dev/null
+++ b/include/skylarkdyke/cli/commands.hpp
@@ -0,0 +1,36 @@
+#ifndef SKYLARKDYKE_CLI_COMMANDS_HPP
+#define SKYLARKDYKE_CLI_COMMANDS_HPP
+
+#include <string>
+#include <vector>
+
+namespace skylarkdyke::cli {
+
+/// Exit codes of all commands.
+inline constexpr int ExitDone = 0;
+inline constexpr int ExitRefused = 1;
+inline constexpr int ExitUsage = 2;
+inline constexpr int ExitUnreachable = 3;
+
+/// Positional arguments after the command's name.
+using arguments = std::vector<std::string>;
+
+/// \brief Runs an entry until SIGTERM or SIGINT.
+int runEntry(const arguments &Arguments);
+/// \brief Checks a settings file and prints all findings.
+int checkSettings(const arguments &Arguments);
+/// \brief Runs the store emulator until SIGTERM or SIGINT.
+int emulateStore(const arguments &Arguments);
+/// \brief Runs emulated targets until SIGTERM or SIGINT.
+int emulateTargets(const arguments &Arguments);
+
+/// \brief Blocks SIGTERM and SIGINT in the calling thread and those it starts
+/// later, and ignores SIGPIPE.
+void blockStopSignals();
+/// \brief Waits for SIGTERM or SIGINT; blockStopSignals() must have been called
+/// before.
+void waitForStopSignal();
+
+} // namespace skylarkdyke::cli
+
+#endif
--- /dev/null
+++ b/include/skylarkdyke/settings/settings.hpp
@@ -0,0 +1,37 @@
+#ifndef SKYLARKDYKE_SETTINGS_SETTINGS_HPP
+#define SKYLARKDYKE_SETTINGS_SETTINGS_HPP
+
+#include "skylarkdyke/base/endpoint.hpp"
+#include "skylarkdyke/base/finding.hpp"
+#include "skylarkdyke/base/names.hpp"
+#include "skylarkdyke/base/result.hpp"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace skylarkdyke::settings {
+
+/// \brief Settings of one entry process.
+struct entry_settings {
+  base::entry_name Name;
+  base::region_name Region;
+  base::domain_name Domain;
+  base::endpoint CallerAddress;
+  base::endpoint AdminAddress;
+  base::endpoint PeerAddress;
+  base::endpoint Store;
+  /// Peer addresses of other entries, for a start without the platform's list.
+  std::vector<base::endpoint> Seeds;
+};
+
+/// \brief Parses and checks the TOML settings of an entry.
+/// \param Text contents of the file
+/// \param FileName name for the places of findings
+/// \return the settings, or all findings with file, line and key
+base::result<entry_settings, base::findings>
+parseEntrySettings(std::string_view Text, const std::string &FileName);
+
+} // namespace skylarkdyke::settings
+
+#endif
--- /dev/null
+++ b/src/base/names.cpp
@@ -0,0 +1,22 @@
+#include "skylarkdyke/base/names.hpp"
+
+#include <array>
+#include <cstdio>
+#include <random>
+
+namespace skylarkdyke::base {
+
+incarnation_id drawIncarnation() {
+  std::random_device Source;
+  std::uniform_int_distribution<std::uint64_t> Any(1);
+  return incarnation_id{Any(Source)};
+}
+
+std::string toString(incarnation_id Incarnation) {
+  std::array<char, 17> Digits{};
+  std::snprintf(Digits.data(), Digits.size(), "%016llx",
+                static_cast<unsigned long long>(Incarnation.Value));
+  return {Digits.data(), 16};
+}
+
+} // namespace skylarkdyke::base
--- /dev/null
+++ b/src/cli/command_emulators.cpp
@@ -0,0 +1,58 @@
+#include "skylarkdyke/cli/commands.hpp"
+#include "skylarkdyke/emulators/store_emulator.hpp"
+#include "skylarkdyke/emulators/target_emulator.hpp"
+
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_uint32(slots, 4, "emulate-targets: slots of each target");
+DEFINE_uint32(work_us, 5000,
+              "emulate-targets: time that a request holds its slot, in us");
+
+namespace skylarkdyke::cli {
+
+int emulateStore(const arguments &Arguments) {
+  const auto Listen =
+      Arguments.size() == 1 ? base::parseEndpoint(Arguments[0]) : std::nullopt;
+  if (!Listen) {
+    std::cerr << "usage: skylarkdyke emulate-store IP:PORT\n";
+    return ExitUsage;
+  }
+  blockStopSignals();
+  emulators::store_emulator Store(*Listen);
+  if (!Store.start()) {
+    std::cerr << "cannot listen on " << Arguments[0] << "\n";
+    return ExitRefused;
+  }
+  waitForStopSignal();
+  Store.stop();
+  return ExitDone;
+}
+
+int emulateTargets(const arguments &Arguments) {
+  if (Arguments.empty()) {
+    std::cerr << "usage: skylarkdyke emulate-targets IP:PORT...\n";
+    return ExitUsage;
+  }
+  blockStopSignals();
+  const emulators::target_behaviour Behaviour{
+      FLAGS_slots, std::chrono::microseconds(FLAGS_work_us)};
+  std::vector<std::unique_ptr<emulators::target_emulator>> Targets;
+  for (const std::string &Argument : Arguments) {
+    const auto Listen = base::parseEndpoint(Argument);
+    if (!Listen) {
+      std::cerr << Argument << ": is not an IPv4 address and port\n";
+      return ExitUsage;
+    }
+    Targets.push_back(
+        std::make_unique<emulators::target_emulator>(*Listen, Behaviour));
+    if (!Targets.back()->start()) {
+      std::cerr << "cannot listen on " << Argument << "\n";
+      return ExitRefused;
+    }
+  }
+  waitForStopSignal();
+  return ExitDone;
+}
+
+} // namespace skylarkdyke::cli
--- /dev/null
+++ b/src/cli/command_run.cpp
@@ -0,0 +1,57 @@
+#include "skylarkdyke/cli/commands.hpp"
+#include "skylarkdyke/entry/entry.hpp"
+#include "skylarkdyke/settings/settings.hpp"
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace skylarkdyke::cli {
+
+/// Reads and checks a settings file; prints all findings.
+static std::optional<settings::entry_settings>
+loadSettings(const std::string &FileName) {
+  std::ifstream File(FileName);
+  if (!File) {
+    std::cerr << FileName << ": cannot be read\n";
+    return std::nullopt;
+  }
+  std::ostringstream Text;
+  Text << File.rdbuf();
+  auto Settings = settings::parseEntrySettings(Text.str(), FileName);
+  if (!Settings) {
+    std::cerr << base::toString(Settings.error());
+    return std::nullopt;
+  }
+  return Settings.value();
+}
+
+int checkSettings(const arguments &Arguments) {
+  if (Arguments.size() != 1) {
+    std::cerr << "usage: skylarkdyke check SETTINGS.toml\n";
+    return ExitUsage;
+  }
+  return loadSettings(Arguments[0]) ? ExitDone : ExitRefused;
+}
+
+int runEntry(const arguments &Arguments) {
+  if (Arguments.size() != 1) {
+    std::cerr << "usage: skylarkdyke run SETTINGS.toml\n";
+    return ExitUsage;
+  }
+  const auto Settings = loadSettings(Arguments[0]);
+  if (!Settings)
+    return ExitRefused;
+  blockStopSignals();
+  entry::entry Entry(*Settings);
+  if (!Entry.start()) {
+    std::cerr << "cannot listen on " << base::toString(Settings->CallerAddress)
+              << "\n";
+    return ExitRefused;
+  }
+  waitForStopSignal();
+  Entry.stop();
+  return ExitDone;
+}
+
+} // namespace skylarkdyke::cli
--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,61 @@
+#include "skylarkdyke/cli/commands.hpp"
+
+#include <gflags/gflags.h>
+#include <glog/logging.h>
+#include <iostream>
+#include <map>
+
+using namespace skylarkdyke;
+
+namespace {
+
+struct command {
+  int (*Run)(const cli::arguments &);
+  const char *Help;
+};
+
+} // namespace
+
+static int printVersion(const cli::arguments &) {
+  std::cout << "skylarkdyke " << SKYLARKDYKE_VERSION << "\n";
+  return cli::ExitDone;
+}
+
+static const std::map<std::string, command> &commands() {
+  static const std::map<std::string, command> Commands = {
+      {"run", {&cli::runEntry, "SETTINGS.toml: run an entry"}},
+      {"check", {&cli::checkSettings, "SETTINGS.toml: check a settings file"}},
+      {"version", {&printVersion, ": print the version"}},
+      {"emulate-store",
+       {&cli::emulateStore, "IP:PORT: stand-in for the store"}},
+      {"emulate-targets",
+       {&cli::emulateTargets, "IP:PORT...: stand-ins for targets"}},
+  };
+  return Commands;
+}
+
+static std::string usage() {
+  std::string Text = "global traffic steering\n\nusage: skylarkdyke COMMAND "
+                     "[ARGUMENTS] [--FLAG=VALUE...]\n\n";
+  for (const auto &[Name, Command] : commands())
+    Text += "  " + Name + " " + Command.Help + "\n";
+  return Text;
+}
+
+int main(int ArgCount, char **Args) {
+  FLAGS_logtostderr = true;
+  gflags::SetUsageMessage(usage());
+  gflags::SetVersionString(SKYLARKDYKE_VERSION);
+  gflags::ParseCommandLineFlags(&ArgCount, &Args, true);
+  google::InitGoogleLogging(Args[0]);
+  if (ArgCount < 2) {
+    std::cerr << usage();
+    return cli::ExitUsage;
+  }
+  const auto Found = commands().find(Args[1]);
+  if (Found == commands().end()) {
+    std::cerr << "unknown command '" << Args[1] << "'\n" << usage();
+    return cli::ExitUsage;
+  }
+  return Found->second.Run(cli::arguments(Args + 2, Args + ArgCount));
+}
--- /dev/null
+++ b/src/http/client.cpp
@@ -0,0 +1,219 @@
+#include "skylarkdyke/http/client.hpp"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace skylarkdyke::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+const char *toString(exchange_fault Fault) {
+  switch (Fault) {
+  case exchange_fault::ConnectRefused:
+    return "connect_refused";
+  case exchange_fault::ConnectTimeout:
+    return "connect_timeout";
+  case exchange_fault::ClosedWithoutAnswer:
+    return "closed_without_answer";
+  case exchange_fault::Truncated:
+    return "truncated";
+  case exchange_fault::DeadlinePassed:
+    return "deadline_passed";
+  case exchange_fault::CallerGone:
+    return "caller_gone";
+  case exchange_fault::Malformed:
+    return "malformed";
+  case exchange_fault::TooLarge:
+    return "too_large";
+  }
+  return "unknown_fault";
+}
+
+/// Reports whether the peer of a socket has closed it, without consuming data.
+static bool isClosedByPeer(int Socket) {
+  char Byte = 0;
+  const ssize_t Count = recv(Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Count == 0 || (Count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+struct connection::impl {
+  using parser = beast::http::response_parser<beast::http::string_body>;
+
+  explicit impl(const base::endpoint &Peer)
+      : Socket(Io), Host(base::toString(Peer)) {}
+
+  /// Runs handlers until Done or the deadline; closes the socket at the
+  /// deadline or when the caller leaves.
+  std::optional<exchange_fault>
+  runUntil(const bool &Done, base::boot_time Deadline, const bool &CallerLeft) {
+    Io.restart();
+    while (!Done && !CallerLeft) {
+      const auto Left = Deadline - base::boot_clock::now();
+      if (Left <= base::boot_clock::duration::zero())
+        break;
+      if (Io.run_one_for(Left) == 0 && Io.stopped())
+        Io.restart();
+    }
+    if (Done)
+      return std::nullopt;
+    error_code Ignored;
+    Socket.close(Ignored);
+    Io.restart();
+    Io.poll();
+    return CallerLeft ? exchange_fault::CallerGone
+                      : exchange_fault::DeadlinePassed;
+  }
+
+  asio::io_context Io;
+  tcp::socket Socket;
+  std::string Host;
+  beast::flat_buffer Buffer;
+  bool Reusable = true;
+};
+
+connection::connection(std::unique_ptr<impl> Impl) : Impl(std::move(Impl)) {}
+connection::~connection() = default;
+connection::connection(connection &&) noexcept = default;
+connection &connection::operator=(connection &&) noexcept = default;
+
+base::result<connection, exchange_error>
+connection::open(const base::endpoint &Peer, base::boot_time Deadline) {
+  auto Impl = std::make_unique<impl>(Peer);
+  bool Done = false;
+  const bool NeverLeft = false;
+  error_code Failure;
+  const tcp::endpoint Address(asio::ip::make_address(Peer.Address), Peer.Port);
+  Impl->Socket.async_connect(Address, [&](error_code Result) {
+    Failure = Result;
+    Done = true;
+  });
+  if (Impl->runUntil(Done, Deadline, NeverLeft))
+    return exchange_error{exchange_fault::ConnectTimeout, true};
+  if (Failure)
+    return exchange_error{exchange_fault::ConnectRefused, true};
+  Impl->Socket.set_option(tcp::no_delay(true), Failure);
+  return connection(std::move(Impl));
+}
+
+bool connection::isReusable() const noexcept {
+  return Impl->Reusable && Impl->Socket.is_open();
+}
+
+/// Maps a Beast read error to a fault.
+static exchange_fault faultOf(const error_code &Failure, bool GotSome) {
+  if (Failure == beast::http::error::body_limit ||
+      Failure == beast::http::error::header_limit)
+    return exchange_fault::TooLarge;
+  if (Failure == beast::http::error::end_of_stream)
+    return exchange_fault::ClosedWithoutAnswer;
+  if (Failure == beast::http::error::partial_message)
+    return exchange_fault::Truncated;
+  if (Failure.category() ==
+      beast::http::make_error_code(beast::http::error::bad_version).category())
+    return exchange_fault::Malformed;
+  return GotSome ? exchange_fault::Truncated
+                 : exchange_fault::ClosedWithoutAnswer;
+}
+
+static beast::http::request<beast::http::string_body>
+toBeast(const request &Request, const std::string &Host) {
+  beast::http::request<beast::http::string_body> Message;
+  Message.method_string(Request.Method);
+  Message.target(Request.Target);
+  Message.version(11);
+  for (const auto &[Name, Value] : Request.Headers)
+    Message.set(Name, Value);
+  Message.set(beast::http::field::host, Host);
+  Message.body() = Request.Body;
+  Message.prepare_payload();
+  return Message;
+}
+
+static response
+fromBeast(beast::http::response<beast::http::string_body> Message) {
+  response Response;
+  Response.Status = static_cast<int>(Message.result_int());
+  for (const auto &Field : Message)
+    Response.Headers[std::string(Field.name_string())] =
+        std::string(Field.value());
+  Response.Body = std::move(Message.body());
+  return Response;
+}
+
+base::result<response, exchange_error>
+connection::exchange(const request &Request, const exchange_limits &Limits) {
+  impl &Conn = *Impl;
+  // A peer that closed while the connection was idle has not seen the request
+  // yet.
+  if (!isReusable() || isClosedByPeer(Conn.Socket.native_handle())) {
+    Conn.Reusable = false;
+    return exchange_error{exchange_fault::ClosedWithoutAnswer, true};
+  }
+  if (Limits.Deadline <= base::boot_clock::now())
+    return exchange_error{exchange_fault::DeadlinePassed, true};
+  Conn.Reusable = false;
+  bool Done = false;
+  bool CallerLeft = false;
+  error_code Failure;
+  const auto Message = toBeast(Request, Conn.Host);
+  impl::parser Parser;
+  Parser.body_limit(Limits.MaxAnswerBytes);
+  if (Request.Method == "HEAD")
+    Parser.skip(true);
+  asio::posix::stream_descriptor Caller(Conn.Io);
+  if (Limits.CallerSocket >= 0) {
+    Caller.assign(dup(Limits.CallerSocket));
+    Caller.async_wait(asio::posix::stream_descriptor::wait_read,
+                      [&](error_code Result) {
+                        if (!Result && isClosedByPeer(Limits.CallerSocket))
+                          CallerLeft = true;
+                      });
+  }
+  beast::http::async_write(
+      Conn.Socket, Message, [&](error_code Result, std::size_t) {
+        // A write error is not final: the peer may have answered before closing
+        // its side.
+        (void)Result;
+        beast::http::async_read(Conn.Socket, Conn.Buffer, Parser,
+                                [&](error_code ReadResult, std::size_t) {
+                                  Failure = ReadResult;
+                                  Done = true;
+                                });
+      });
+  const auto Interrupted = Conn.runUntil(Done, Limits.Deadline, CallerLeft);
+  error_code Ignored;
+  Caller.close(Ignored);
+  Conn.Io.restart();
+  Conn.Io.poll();
+  if (Interrupted)
+    return exchange_error{*Interrupted, false};
+  if (Failure || !Parser.is_done()) {
+    Conn.Socket.close(Ignored);
+    return exchange_error{faultOf(Failure, Parser.is_header_done()), false};
+  }
+  Conn.Reusable = Parser.keep_alive() && Conn.Buffer.size() == 0;
+  if (!Conn.Reusable)
+    Conn.Socket.close(Ignored);
+  return fromBeast(Parser.release());
+}
+
+base::result<response, exchange_error> fetch(const base::endpoint &Peer,
+                                             const request &Request,
+                                             const exchange_limits &Limits) {
+  auto Opened = connection::open(Peer, Limits.Deadline);
+  if (!Opened)
+    return Opened.error();
+  return Opened.value().exchange(Request, Limits);
+}
+
+} // namespace skylarkdyke::http
--- /dev/null
+++ b/src/settings/settings.cpp
@@ -0,0 +1,127 @@
+#include "skylarkdyke/settings/settings.hpp"
+
+#include <set>
+#include <toml++/toml.h>
+
+namespace skylarkdyke::settings {
+
+namespace {
+
+/// Reads keys of the root table and collects findings with file and line.
+class table_reader {
+public:
+  table_reader(const toml::table &Table, std::string FileName)
+      : Table(Table), FileName(std::move(FileName)) {}
+
+  std::string text(std::string_view Key) {
+    const toml::node *Node = find(Key, true);
+    if (Node == nullptr)
+      return {};
+    const auto Text = Node->value<std::string>();
+    if (!Node->is_string() || Text->empty()) {
+      report(Node, Key, "must be a non-empty string");
+      return {};
+    }
+    return *Text;
+  }
+
+  base::endpoint endpoint(std::string_view Key) {
+    const std::size_t Before = Findings.size();
+    const std::string Text = text(Key);
+    const auto Parsed = base::parseEndpoint(Text);
+    if (!Parsed && Findings.size() == Before)
+      report(Table.get(Key), Key,
+             "must be an IPv4 address and port such as 127.0.0.1:8080");
+    return Parsed.value_or(base::endpoint());
+  }
+
+  std::vector<base::endpoint> endpoints(std::string_view Key) {
+    std::vector<base::endpoint> Endpoints;
+    const toml::node *Node = find(Key, false);
+    if (Node == nullptr)
+      return Endpoints;
+    const toml::array *List = Node->as_array();
+    if (List == nullptr) {
+      report(Node, Key, "must be a list of addresses");
+      return Endpoints;
+    }
+    for (const toml::node &Item : *List) {
+      const auto Parsed =
+          base::parseEndpoint(Item.value_or<std::string>(std::string()));
+      if (Parsed)
+        Endpoints.push_back(*Parsed);
+      else
+        report(&Item, Key,
+               "must hold IPv4 addresses and ports such as 127.0.0.1:8080");
+    }
+    return Endpoints;
+  }
+
+  /// Reports every key that no call above has asked for.
+  void finish() {
+    for (const auto &[Key, Node] : Table)
+      if (Known.count(std::string(Key.str())) == 0)
+        report(&Node, Key.str(), "is not a known setting");
+  }
+
+  base::findings Findings;
+
+private:
+  const toml::node *find(std::string_view Key, bool Required) {
+    Known.insert(std::string(Key));
+    const toml::node *Node = Table.get(Key);
+    if (Node == nullptr && Required)
+      Findings.push_back({FileName + ": " + std::string(Key), "is missing"});
+    return Node;
+  }
+
+  void report(const toml::node *Node, std::string_view Key,
+              std::string Reason) {
+    Findings.push_back({FileName + ":" +
+                            std::to_string(Node->source().begin.line) + ": " +
+                            std::string(Key),
+                        std::move(Reason)});
+  }
+
+  const toml::table &Table;
+  std::string FileName;
+  std::set<std::string> Known;
+};
+
+} // namespace
+
+static toml::table parseToml(std::string_view Text, const std::string &FileName,
+                             base::findings &Findings) {
+  try {
+    return toml::parse(Text, FileName);
+  } catch (const toml::parse_error &Error) {
+    Findings.push_back(
+        {FileName + ":" + std::to_string(Error.source().begin.line),
+         std::string(Error.description())});
+    return {};
+  }
+}
+
+base::result<entry_settings, base::findings>
+parseEntrySettings(std::string_view Text, const std::string &FileName) {
+  base::findings ParseFindings;
+  const toml::table Table = parseToml(Text, FileName, ParseFindings);
+  if (!ParseFindings.empty())
+    return ParseFindings;
+  table_reader Reader(Table, FileName);
+  entry_settings Settings;
+  Settings.Name = base::entry_name(Reader.text("name"));
+  Settings.Region = base::region_name(Reader.text("region"));
+  Settings.Domain = base::domain_name(Reader.text("domain"));
+  Settings.CallerAddress = Reader.endpoint("caller_address");
+  Settings.AdminAddress = Reader.endpoint("admin_address");
+  Settings.PeerAddress = Reader.endpoint("peer_address");
+  Settings.Store = Reader.endpoint("store");
+  Settings.Seeds = Reader.endpoints("seeds");
+  Reader.finish();
+  if (!Reader.Findings.empty())
+    return Reader.Findings;
+  return Settings;
+}
+
+} // namespace skylarkdyke::settings
