Add the fault-injecting proxy and the emulated deployments

Cause: the guarantees are to be proved with real processes behind faults, at the sizes and link delays of the two deployments.

Ruled out: network namespaces (isolation tools) and a delay in the emulated targets (it would not show in connection set-up nor on other links).

--- a/include/skylarkdyke/cli/commands.hpp
+++ b/include/skylarkdyke/cli/commands.hpp
@@ -24,6 +24,12 @@
 /// \brief Runs emulated targets until SIGTERM or SIGINT.
 int emulateTargets(const arguments &Arguments);
 
+/// \brief Writes settings, configuration and proxy plan of an emulated
+/// deployment.
+int makeDeploymentFiles(const arguments &Arguments);
+/// \brief Runs the fault-injecting proxy until SIGTERM or SIGINT.
+int runFaultProxy(const arguments &Arguments);
+
 /// \brief Blocks SIGTERM and SIGINT in the calling thread and those it starts
 /// later, and ignores SIGPIPE.
 void blockStopSignals();
--- a/include/skylarkdyke/http/client.hpp
+++ b/include/skylarkdyke/http/client.hpp
@@ -43,6 +43,11 @@
   int CallerSocket = -1;
 };
 
+/// \brief Sets the source address of all connections that this process opens
+/// from now on. \param Address IPv4 address of this machine; empty lets the
+/// system choose
+void setSourceAddress(const std::string &Address);
+
 /// \brief One kept-open HTTP/1.1 connection (Boost.Beast) that never sends a
 /// request twice by itself.
 ///
--- a/include/skylarkdyke/settings/settings.hpp
+++ b/include/skylarkdyke/settings/settings.hpp
@@ -17,9 +17,16 @@
   base::entry_name Name;
   base::region_name Region;
   base::domain_name Domain;
+  /// Address that lookups name.
   base::endpoint CallerAddress;
+  /// Address to bind for callers; CallerAddress unless callers reach it
+  /// through an address translation.
+  base::endpoint CallerListen;
   base::endpoint AdminAddress;
+  /// Address that other entries dial.
   base::endpoint PeerAddress;
+  /// Address to bind for other entries; PeerAddress unless set.
+  base::endpoint PeerListen;
   base::endpoint Store;
   /// Peer addresses of other entries, for a start without the platform's list.
   std::vector<base::endpoint> Seeds;
--- a/src/cli/command_run.cpp
+++ b/src/cli/command_run.cpp
@@ -1,5 +1,6 @@
 #include "skylarkdyke/cli/commands.hpp"
 #include "skylarkdyke/entry/entry.hpp"
+#include "skylarkdyke/http/client.hpp"
 #include "skylarkdyke/settings/settings.hpp"
 
 #include <fstream>
@@ -43,6 +44,7 @@
   if (!Settings)
     return ExitRefused;
   blockStopSignals();
+  http::setSourceAddress(Settings->CallerListen.Address);
   entry::entry Entry(*Settings);
   if (!Entry.start()) {
     std::cerr << "cannot listen on " << base::toString(Settings->CallerAddress)
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -30,6 +30,11 @@
        {&cli::emulateStore, "IP:PORT: stand-in for the store"}},
       {"emulate-targets",
        {&cli::emulateTargets, "IP:PORT...: stand-ins for targets"}},
+      {"fault-proxy",
+       {&cli::runFaultProxy, "PLAN.json IP:PORT: fault-injecting TCP proxy"}},
+      {"make-deployment",
+       {&cli::makeDeploymentFiles,
+        "DIRECTORY: write the files of an emulated deployment"}},
   };
   return Commands;
 }
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -10,7 +10,7 @@
   explicit impl(settings::entry_settings Given)
       : Settings(std::move(Given)), Store(Settings.Store),
         Watcher(Store, Config), Callers(Settings, Config),
-        CallerServer(Settings.CallerAddress, http::server_limits(),
+        CallerServer(Settings.CallerListen, http::server_limits(),
                      [this](const http::server_request &Request) {
                        return Callers.handle(Request);
                      }) {}
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <mutex>
+#include <netinet/in.h>
 #include <optional>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -39,6 +41,30 @@
   return "unknown_fault";
 }
 
+static std::mutex SourceMutex;
+static std::string SourceAddress;
+
+void setSourceAddress(const std::string &Address) {
+  const std::lock_guard<std::mutex> Lock(SourceMutex);
+  SourceAddress = Address;
+}
+
+/// Binds a socket to the process's source address, if one is set.
+static bool bindSource(tcp::socket &Socket) {
+  const std::lock_guard<std::mutex> Lock(SourceMutex);
+  if (SourceAddress.empty())
+    return true;
+  error_code Failure;
+  Socket.open(tcp::v4(), Failure);
+  // The port is chosen at connect, so that one source port can serve several
+  // peers.
+  const int One = 1;
+  setsockopt(Socket.native_handle(), IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &One,
+             sizeof(One));
+  Socket.bind(tcp::endpoint(asio::ip::make_address(SourceAddress), 0), Failure);
+  return !Failure;
+}
+
 /// Reports whether the peer of a socket has closed it, without consuming data.
 static bool isClosedByPeer(int Socket) {
   char Byte = 0;
@@ -89,6 +115,8 @@
 base::result<connection, exchange_error>
 connection::open(const base::endpoint &Peer, base::boot_time Deadline) {
   auto Impl = std::make_unique<impl>(Peer);
+  if (!bindSource(Impl->Socket))
+    return exchange_error{exchange_fault::ConnectRefused, true};
   bool Done = false;
   const bool NeverLeft = false;
   error_code Failure;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -35,6 +35,11 @@
     return Parsed.value_or(base::endpoint());
   }
 
+  base::endpoint endpointOr(std::string_view Key,
+                            const base::endpoint &Default) {
+    return find(Key, false) == nullptr ? Default : endpoint(Key);
+  }
+
   std::vector<base::endpoint> endpoints(std::string_view Key) {
     std::vector<base::endpoint> Endpoints;
     const toml::node *Node = find(Key, false);
@@ -114,8 +119,11 @@
   Settings.Region = base::region_name(Reader.text("region"));
   Settings.Domain = base::domain_name(Reader.text("domain"));
   Settings.CallerAddress = Reader.endpoint("caller_address");
+  Settings.CallerListen =
+      Reader.endpointOr("caller_listen", Settings.CallerAddress);
   Settings.AdminAddress = Reader.endpoint("admin_address");
   Settings.PeerAddress = Reader.endpoint("peer_address");
+  Settings.PeerListen = Reader.endpointOr("peer_listen", Settings.PeerAddress);
   Settings.Store = Reader.endpoint("store");
   Settings.Seeds = Reader.endpoints("seeds");
   Reader.finish();
