--- a/include/skylarkdyke/emulators/deployment.hpp
+++ b/include/skylarkdyke/emulators/deployment.hpp
@@ -4,6 +4,7 @@
 #include "skylarkdyke/config/document.hpp"
 #include "skylarkdyke/emulators/fault_proxy.hpp"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -43,7 +44,8 @@
   base::endpoint StoreListen;
   base::endpoint StoreAddress;
   base::endpoint StoreControl;
-  base::endpoint TargetControl;
+  /// Control port of the process that hosts a service's targets.
+  std::map<std::string, base::endpoint> TargetControls;
   base::endpoint ProxyControl;
   proxy_plan Proxy;
   /// IP address of the callers of each region.
--- a/src/cli/command_deployment.cpp
+++ b/src/cli/command_deployment.cpp
@@ -48,6 +48,9 @@
                        {"domain", Target.Domain},
                        {"listen", base::toString(Target.Listen)},
                        {"slots", Target.Slots}});
+  json Controls = json::object();
+  for (const auto &[Service, Control] : Plan.TargetControls)
+    Controls[Service] = base::toString(Control);
   json Links = json::array();
   for (const config::link &Link : Plan.Document.Links)
     Links.push_back({{"from", Link.From.str()}, {"to", Link.To.str()}});
@@ -56,7 +59,7 @@
           {"store_listen", base::toString(Plan.StoreListen)},
           {"store_address", base::toString(Plan.StoreAddress)},
           {"store_control", base::toString(Plan.StoreControl)},
-          {"target_control", base::toString(Plan.TargetControl)},
+          {"target_controls", Controls},
           {"proxy_control", base::toString(Plan.ProxyControl)},
           {"caller_sources", Plan.CallerSources},
           {"links", Links}};
--- a/src/emulators/deployment.cpp
+++ b/src/emulators/deployment.cpp
@@ -115,7 +115,10 @@
                        deployment &Plan) {
   const std::size_t DomainCount = Profile.Regions.size() * DomainsPerRegion;
   unsigned Number = 0;
+  unsigned ServiceNumber = 0;
   for (const char *Service : Profile.Services) {
+    Plan.TargetControls[Service] = {Addresses.platform(10 + ++ServiceNumber),
+                                    ControlPort};
     config::service Item;
     Item.Name = base::service_name(Service);
     Item.MaxAnswerBytes = std::size_t{64} * 1024;
@@ -199,7 +202,6 @@
   Plan.StoreAddress = {Addresses.platform(1), StorePort};
   Plan.StoreListen = behindProxy(Plan.StoreAddress);
   Plan.StoreControl = {Addresses.platform(1), ControlPort};
-  Plan.TargetControl = {Addresses.platform(2), ControlPort};
   Plan.ProxyControl = {Addresses.platform(3), ControlPort};
   // The store stands in the first region.
   Plan.Proxy.Addresses.push_back(
