--- a/include/skylarkdyke/http/client.hpp
+++ b/include/skylarkdyke/http/client.hpp
@@ -22,6 +22,8 @@
   CallerGone,
   Malformed,
   TooLarge,
+  /// The pool's bound on connections to the peer is reached.
+  ConnectionLimit,
 };
 
 /// \brief Failure of an exchange.
@@ -69,7 +71,9 @@
   base::result<response, exchange_error>
   exchange(const request &Request, const exchange_limits &Limits);
 
-  /// \brief Tells whether another exchange can be tried on this connection.
+  /// \brief Tells whether another exchange can be tried on this connection:
+  /// the last one was complete, and the peer has neither closed the connection
+  /// nor sent anything since.
   bool isReusable() const noexcept;
 
 private:
@@ -78,6 +82,10 @@
   std::unique_ptr<impl> Impl;
 };
 
+/// \brief Tells whether the peer of a socket has closed it, without consuming
+/// data. \param Socket a connected socket; a negative one counts as open
+bool isClosedByPeer(int Socket);
+
 /// \brief Opens a connection, makes one exchange and closes it.
 /// \return the whole response, or the reason why there is none
 base::result<response, exchange_error> fetch(const base::endpoint &Peer,
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -35,12 +35,15 @@
     return "malformed";
   case exchange_fault::TooLarge:
     return "too_large";
+  case exchange_fault::ConnectionLimit:
+    return "connection_limit";
   }
   return "unknown_fault";
 }
 
-/// Reports whether the peer of a socket has closed it, without consuming data.
-static bool isClosedByPeer(int Socket) {
+bool isClosedByPeer(int Socket) {
+  if (Socket < 0)
+    return false;
   char Byte = 0;
   const ssize_t Count = recv(Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return Count == 0 || (Count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
@@ -106,7 +109,14 @@
 }
 
 bool connection::isReusable() const noexcept {
-  return Impl->Reusable && Impl->Socket.is_open();
+  if (!Impl->Reusable || !Impl->Socket.is_open())
+    return false;
+  // A readable idle connection holds either the peer's close or bytes that
+  // belong to no request.
+  char Byte = 0;
+  return recv(Impl->Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) <
+             0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 /// Maps a Beast read error to a fault.
--- /dev/null
+++ b/src/targets/prober.cpp
@@ -0,0 +1,157 @@
+#include "skylarkdyke/targets/prober.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace skylarkdyke::targets {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using boost::system::error_code;
+
+/// Largest answer of a probe that is read.
+static constexpr std::size_t MaxProbeAnswerBytes = 4096;
+
+namespace {
+
+/// One probe of one target: connect, GET /health, GET /load. It keeps itself
+/// alive through the handlers of its operations.
+class probe : public std::enable_shared_from_this<probe> {
+public:
+  probe(asio::io_context &Io, const config::target &Target,
+        prober::reporter Report)
+      : Stream(Io), Address(Target.Address), Report(std::move(Report)) {
+    Result.Target = Target.Id;
+    Result.Service = Target.Service;
+  }
+
+  void run(std::chrono::milliseconds Limit) {
+    Stream.expires_after(Limit);
+    Stream.async_connect(
+        asio::ip::tcp::endpoint(asio::ip::make_address(Address.Address),
+                                Address.Port),
+        [Self = shared_from_this()](error_code Failure) {
+          if (Failure)
+            Self->Report(Self->Result);
+          else
+            Self->ask("/health");
+        });
+  }
+
+private:
+  void ask(const char *Path) {
+    Request = {beast::http::verb::get, Path, 11};
+    Request.set(beast::http::field::host, base::toString(Address));
+    Parser.emplace();
+    Parser->body_limit(MaxProbeAnswerBytes);
+    beast::http::async_write(
+        Stream, Request,
+        [Self = shared_from_this()](error_code Failure, std::size_t) {
+          if (Failure)
+            Self->Report(Self->Result);
+          else
+            Self->read();
+        });
+  }
+
+  void read() {
+    beast::http::async_read(
+        Stream, Buffer, *Parser,
+        [Self = shared_from_this()](error_code Failure, std::size_t) {
+          if (Failure)
+            Self->Report(Self->Result);
+          else
+            Self->onAnswer();
+        });
+  }
+
+  void onAnswer() {
+    const bool Ok = Parser->get().result() == beast::http::status::ok;
+    if (Request.target() == "/health") {
+      Result.Healthy = Ok;
+      if (Parser->keep_alive())
+        return ask("/load");
+    } else if (Ok) {
+      readLoad(Parser->get().body());
+    }
+    Report(Result);
+  }
+
+  void readLoad(const std::string &Body) {
+    const auto Load = nlohmann::json::parse(Body, nullptr, false);
+    if (Load.is_object() && Load.contains("in_flight") &&
+        Load["in_flight"].is_number_unsigned())
+      Result.InFlight = Load["in_flight"].get<unsigned>();
+  }
+
+  beast::tcp_stream Stream;
+  base::endpoint Address;
+  prober::reporter Report;
+  probe_result Result;
+  beast::http::request<beast::http::empty_body> Request;
+  beast::flat_buffer Buffer;
+  std::optional<beast::http::response_parser<beast::http::string_body>> Parser;
+};
+
+} // namespace
+
+struct prober::impl {
+  impl(reporter Report, probe_times Times)
+      : Report(std::move(Report)), Times(Times), Timer(Io) {}
+
+  void startRound() {
+    std::vector<config::target> Round;
+    {
+      const std::lock_guard<std::mutex> Lock(Mutex);
+      Round = Targets;
+    }
+    for (const config::target &Target : Round)
+      std::make_shared<probe>(Io, Target, Report)->run(Times.Limit);
+    Timer.expires_after(Times.Interval);
+    Timer.async_wait([this](error_code Failure) {
+      if (!Failure)
+        startRound();
+    });
+  }
+
+  reporter Report;
+  probe_times Times;
+  asio::io_context Io;
+  asio::steady_timer Timer;
+  std::mutex Mutex;
+  std::vector<config::target> Targets;
+  std::thread Thread;
+};
+
+prober::prober(reporter Report, probe_times Times)
+    : Impl(std::make_unique<impl>(std::move(Report), Times)) {}
+
+prober::~prober() { stop(); }
+
+void prober::configure(std::vector<config::target> Targets) {
+  const std::lock_guard<std::mutex> Lock(Impl->Mutex);
+  Impl->Targets = std::move(Targets);
+}
+
+void prober::start() {
+  Impl->Thread = std::thread([this] {
+    Impl->startRound();
+    Impl->Io.run();
+  });
+}
+
+void prober::stop() {
+  if (!Impl->Thread.joinable())
+    return;
+  Impl->Io.stop();
+  Impl->Thread.join();
+}
+
+} // namespace skylarkdyke::targets
--- /dev/null
+++ b/tests/unit-targets-prober.cpp
@@ -0,0 +1,80 @@
+#include "skylarkdyke/emulators/target_emulator.hpp"
+#include "skylarkdyke/targets/prober.hpp"
+#include "support/free_port.hpp"
+
+#include <arpa/inet.h>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace skylarkdyke;
+using namespace std::chrono_literals;
+
+TEST_GROUP(targets_prober) {
+  std::mutex Mutex;
+  std::condition_variable Reported;
+  std::map<std::string, targets::probe_result> Results;
+  targets::prober Prober{[this](const targets::probe_result &Result) {
+                           const std::lock_guard<std::mutex> Lock(Mutex);
+                           Results[Result.Target.str()] = Result;
+                           Reported.notify_all();
+                         },
+                         {50ms, 200ms}};
+
+  void teardown() override { Prober.stop(); }
+
+  static config::target target(const char *Id, const base::endpoint &Address) {
+    config::target Target;
+    Target.Id = base::target_id(Id);
+    Target.Address = Address;
+    return Target;
+  }
+
+  targets::probe_result resultOf(const std::string &Id) {
+    std::unique_lock<std::mutex> Lock(Mutex);
+    CHECK_TRUE(
+        Reported.wait_for(Lock, 2s, [&] { return Results.count(Id) != 0; }));
+    return Results[Id];
+  }
+};
+
+// Guards against one target that accepts but never answers delaying the others,
+// and against its silence counting as health.
+TEST(targets_prober, ASilentTargetIsUnhealthyAndDelaysNoOther) {
+  const base::endpoint Silent{"127.0.0.1", test_support::freePort()};
+  const int Listener = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Bind{};
+  Bind.sin_family = AF_INET;
+  Bind.sin_port = htons(Silent.Port);
+  Bind.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  CHECK_EQUAL(
+      0, bind(Listener, reinterpret_cast<sockaddr *>(&Bind), sizeof(Bind)));
+  CHECK_EQUAL(0, listen(Listener, 8));
+  emulators::target_emulator Good({"127.0.0.1", test_support::freePort()}, {});
+  CHECK_TRUE(Good.start());
+  const auto Start = base::boot_clock::now();
+  Prober.configure({target("silent", Silent), target("good", Good.address())});
+  Prober.start();
+  const targets::probe_result Result = resultOf("good");
+  CHECK_TRUE(base::boot_clock::now() - Start < 200ms);
+  CHECK_TRUE(Result.Healthy);
+  CHECK_EQUAL(0u, *Result.InFlight);
+  CHECK_FALSE(resultOf("silent").Healthy);
+  close(Listener);
+}
+
+// Guards against a target that asks for no work being reported as healthy.
+TEST(targets_prober, ADrainingTargetIsUnhealthy) {
+  emulators::target_behaviour Behaviour;
+  Behaviour.Draining = true;
+  emulators::target_emulator Target({"127.0.0.1", test_support::freePort()},
+                                    Behaviour);
+  CHECK_TRUE(Target.start());
+  Prober.configure({target("leaving", Target.address())});
+  Prober.start();
+  CHECK_FALSE(resultOf("leaving").Healthy);
+}
