Choose targets by slots in use, weight and own observation

Cause: the target chooser was only declared; requests went round robin and a target that answers errors fast would have received its full share or more.

Change: a target's rank is its slots in use relative to slots and weight, then its own measured latency, then its reported load. Error answers and failed attempts raise an error rate that ejects the target for 1 s to 30 s; it returns with a slow start over 10 s.

Ruled out: ranking by weight alone. At rest no slot is in use, so a weight of 0.99 would lose every tie and move all traffic at once. A weight below one makes a target a candidate in that fraction of the choices instead. Ejecting without bound was ruled out too: error answers at most targets come from the requests or from a shared dependency, so they eject at most half of the targets.

Figures: a target that always answers errors receives at most 4 of 1,000 requests (unit test); a weight of 0.7 against 1 at rest gives 690 to 710 of 1,000 choices, although that target is the faster one.

--- /dev/null
+++ b/tests/unit-steering-target-chooser.cpp
@@ -0,0 +1,186 @@
+#include "skylarkdyke/steering/target_chooser.hpp"
+
+#include <map>
+#include <rapidcheck.h>
+
+// Last, because it redefines "new".
+#include <CppUTest/TestHarness.h>
+
+using namespace skylarkdyke;
+using namespace std::chrono_literals;
+using steering::attempt_result;
+using steering::target_chooser;
+using steering::weighted_target;
+
+static const base::boot_time Start(1h);
+
+static weighted_target makeTarget(const std::string &Id, unsigned Slots = 4,
+                                  double Weight = 1) {
+  config::target Target;
+  Target.Id = base::target_id(Id);
+  Target.Slots = Slots;
+  return {Target, Weight};
+}
+
+TEST_GROUP(TargetChooser) {
+  target_chooser Chooser;
+
+  std::string acquire(base::boot_time Now) {
+    const auto Target = Chooser.acquire(100, {}, Now);
+    return Target ? Target->Id.str() : "";
+  }
+  void release(const std::string &Id, attempt_result Result,
+               base::boot_time Now, std::chrono::nanoseconds Latency = 1ms) {
+    Chooser.release(base::target_id(Id), Result, Latency, Now);
+  }
+  unsigned countOf(const std::string &Id, unsigned Attempts,
+                   base::boot_time Now) {
+    unsigned Count = 0;
+    for (unsigned I = 0; I < Attempts; ++I) {
+      const std::string Chosen = acquire(Now);
+      Count += Chosen == Id ? 1 : 0;
+      release(Chosen, attempt_result::Completed, Now);
+    }
+    return Count;
+  }
+};
+
+// Guards against queueing at a busy target while another has free slots.
+TEST(TargetChooser, TakesTheTargetWithTheSmallestShareInUse) {
+  Chooser.configure({makeTarget("a", 2), makeTarget("b", 4)}, Start);
+  std::map<std::string, int> Counts;
+  for (int I = 0; I < 6; ++I)
+    ++Counts[acquire(Start)];
+  LONGS_EQUAL(2, Counts["a"]);
+  LONGS_EQUAL(4, Counts["b"]);
+  STRCMP_EQUAL("", acquire(Start).c_str());
+}
+
+// Guards against preferring a slower target when both are equally loaded.
+TEST(TargetChooser, BreaksTiesByOwnLatency) {
+  Chooser.configure({makeTarget("a"), makeTarget("b")}, Start);
+  const std::string First = acquire(Start);
+  const std::string Second = acquire(Start);
+  CHECK(First != Second);
+  release(First, attempt_result::Completed, Start, 9ms);
+  release(Second, attempt_result::Completed, Start, 2ms);
+  STRCMP_EQUAL(Second.c_str(), acquire(Start).c_str());
+}
+
+// Guards against a broken target that reports itself idle, answers errors fast
+// and so is always the one with free slots.
+TEST(TargetChooser, BrokenTargetDoesNotAttractWork) {
+  Chooser.configure({makeTarget("bad"), makeTarget("b"), makeTarget("c")},
+                    Start);
+  int AtBroken = 0;
+  for (int I = 0; I < 1000; ++I) {
+    const auto Now = Start + I * 1ms;
+    Chooser.report(base::target_id("bad"), true, 0, Now);
+    const std::string Chosen = acquire(Now);
+    AtBroken += Chosen == "bad" ? 1 : 0;
+    release(Chosen,
+            Chosen == "bad" ? attempt_result::ErrorAnswer
+                            : attempt_result::Completed,
+            Now, Chosen == "bad" ? 1us : 5ms);
+  }
+  CHECK(AtBroken > 0);
+  CHECK(AtBroken <= 4);
+}
+
+// Guards against stopping a service whose requests, not targets, are bad.
+TEST(TargetChooser, ErrorAnswersEjectAtMostHalfOfTheTargets) {
+  Chooser.configure({makeTarget("a"), makeTarget("b"), makeTarget("c")}, Start);
+  for (int I = 0; I < 100; ++I) {
+    const std::string Chosen = acquire(Start);
+    CHECK(!Chosen.empty());
+    release(Chosen, attempt_result::ErrorAnswer, Start);
+  }
+  LONGS_EQUAL(8, Chooser.usableSlots(Start));
+}
+
+// Guards against a cold target receiving its whole share at once.
+TEST(TargetChooser, ReturnsWithSlowStart) {
+  Chooser.configure({makeTarget("a"), makeTarget("b")}, Start);
+  for (int I = 0; I < 2; ++I)
+    release("a", attempt_result::Failed, Start);
+  LONGS_EQUAL(4, Chooser.usableSlots(Start));
+  LONGS_EQUAL(5, Chooser.usableSlots(Start + 1s));
+  LONGS_EQUAL(6, Chooser.usableSlots(Start + 6s));
+  LONGS_EQUAL(8, Chooser.usableSlots(Start + 11s));
+}
+
+// Guards against a lying health endpoint taking a working target, or all
+// targets, out of use.
+TEST(TargetChooser, OwnObservationGoesBeforeProbes) {
+  Chooser.configure({makeTarget("a"), makeTarget("b")}, Start);
+  release("a", attempt_result::Completed, Start);
+  Chooser.report(base::target_id("a"), false, 0, Start);
+  LONGS_EQUAL(8, Chooser.usableSlots(Start));
+  LONGS_EQUAL(4, Chooser.usableSlots(Start + 2s));
+  Chooser.report(base::target_id("b"), false, 0, Start + 2s);
+  LONGS_EQUAL(8, Chooser.usableSlots(Start + 2s));
+}
+
+// Guards against a jump of the traffic at the first step of a drain's ramp.
+TEST(TargetChooser, ShareFollowsTheWeightAtLowLoad) {
+  Chooser.configure({makeTarget("a", 4, 0.7), makeTarget("b")}, Start);
+  release("a", attempt_result::Completed, Start, 10us);
+  release("b", attempt_result::Completed, Start, 1s);
+  const unsigned Count = countOf("a", 1000, Start);
+  CHECK(Count >= 690);
+  CHECK(Count <= 710);
+}
+
+// Guards against more requests at a target than it has slots, and against new
+// work at targets without weight, in any order of calls.
+TEST(TargetChooser, SlotsNeverExceedTheLimit) {
+  CHECK(rc::check([] {
+    target_chooser Any;
+    std::map<std::string, weighted_target> Configured;
+    std::map<std::string, unsigned> InUse;
+    base::boot_time Now = Start;
+    const auto Steps = *rc::gen::inRange(1, 200);
+    for (int Step = 0; Step < Steps; ++Step) {
+      Now += std::chrono::milliseconds(*rc::gen::inRange(0, 2000));
+      const int Kind = *rc::gen::inRange(0, 8);
+      const std::string Id(1, static_cast<char>('a' + *rc::gen::inRange(0, 5)));
+      if (Kind == 0) {
+        Configured.clear();
+        std::vector<weighted_target> Targets;
+        for (char Name = 'a'; Name < 'f'; ++Name)
+          if (*rc::gen::inRange(0, 3) > 0)
+            Targets.push_back(
+                makeTarget(std::string(1, Name),
+                           static_cast<unsigned>(*rc::gen::inRange(1, 5)),
+                           *rc::gen::inRange(0, 5) / 4.0));
+        for (const auto &Target : Targets)
+          Configured[Target.Target.Id.str()] = Target;
+        Any.configure(Targets, Now);
+      } else if (Kind <= 4) {
+        const auto Max = static_cast<unsigned>(*rc::gen::inRange(1, 6));
+        const auto Target = Any.acquire(Max, {base::target_id(Id)}, Now);
+        if (!Target)
+          continue;
+        const std::string Chosen = Target->Id.str();
+        RC_ASSERT(Chosen != Id);
+        RC_ASSERT(Configured.count(Chosen) == 1);
+        RC_ASSERT(Configured[Chosen].Weight > 0);
+        RC_ASSERT(++InUse[Chosen] <=
+                  std::min(Max, Configured[Chosen].Target.Slots));
+      } else if (Kind <= 6) {
+        if (InUse[Id] == 0)
+          continue;
+        --InUse[Id];
+        Any.release(base::target_id(Id),
+                    static_cast<attempt_result>(*rc::gen::inRange(0, 5)), 1ms,
+                    Now);
+      } else {
+        Any.report(base::target_id(Id), *rc::gen::arbitrary<bool>(), 1, Now);
+      }
+      unsigned Total = 0;
+      for (const auto &[Name, Count] : InUse)
+        Total += Count;
+      RC_ASSERT(Any.slotsInUse() == Total);
+    }
+  }));
+}
