--- a/include/skylarkdyke/caps/cap.hpp
+++ b/include/skylarkdyke/caps/cap.hpp
@@ -41,6 +41,19 @@
 /// Window over which every cap holds.
 inline constexpr std::chrono::seconds CapWindow{1};
 
+/// Longest loan. Long enough for a renewal every second to be lost once, short
+/// enough for a lender to get its share back soon.
+inline constexpr std::chrono::milliseconds LoanLength{2000};
+
+/// What a lender waits beyond the loan and the window, because the clocks of
+/// two machines run at rates that differ by up to some 100 ppm.
+inline constexpr std::chrono::milliseconds ClockRateMargin{10};
+
+/// After this time no unit that a seat's former holder took or lent is in use
+/// any more, so another entry may use the seat's share.
+inline constexpr std::chrono::milliseconds SeatHandoverDelay =
+    LoanLength + CapWindow + ClockRateMargin;
+
 /// \brief What one request takes from one cap: 1 for a region, bits for a link.
 struct demand {
   cap_id Cap;
@@ -54,6 +67,10 @@
   cap_id Cap;
   /// Units per CapWindow.
   std::uint64_t Amount = 0;
+  /// Request id of the borrower's loan that this one replaces, or 0. It goes to
+  /// the peer that granted that loan; any other peer lends anew, which is safe
+  /// but keeps the old amount unused until its end.
+  std::uint64_t Renews = 0;
 };
 
 /// \brief Lends a share of a cap for a limited time.
--- a/include/skylarkdyke/once/ledger.hpp
+++ b/include/skylarkdyke/once/ledger.hpp
@@ -5,7 +5,10 @@
 #include "skylarkdyke/http/message.hpp"
 #include "skylarkdyke/once/key.hpp"
 
+#include <cstddef>
+#include <cstdint>
 #include <memory>
+#include <string>
 #include <variant>
 
 namespace skylarkdyke::once {
@@ -27,9 +30,12 @@
   outcome Outcome;
   http::response Answer;
 };
-/// \brief The key must not be run here. Never an effect at a target.
+/// \brief The key must not be run here.
 struct begin_refused {
   std::string Reason;
+  /// NotRun if the key has not been run and will not be; Unknown if its record
+  /// may have been dropped or another incarnation owns the key.
+  outcome Outcome = outcome::Unknown;
 };
 /// \brief The key was used before with another request.
 struct begin_mismatch {};
@@ -40,8 +46,10 @@
 /// \brief Keys of one entry incarnation with their states. Pure; not
 /// thread-safe.
 ///
-/// A key that is refused for lack of memory, for expiry or for another owner
-/// has not been run.
+/// A key that is refused for lack of memory has not been run, and stays refused
+/// until it has expired: another attempt with it may still be on its way, and
+/// must not run after a caller was told that it was not run. Expired keys are
+/// never run, also when the wall clock is set back.
 class ledger {
 public:
   /// \param Self the incarnation whose keys may be run
@@ -63,7 +71,7 @@
 
   /// \brief Stores the outcome of a key that begin() gave out to run. A key
   /// that was not run stays not run under this ledger: the caller sends a new
-  /// key to try again.
+  /// key to try again. Ignored for a key that is not running.
   void finish(const idempotency_key &Key, outcome Outcome,
               http::response Answer, base::wall_time Now);
 
@@ -71,7 +79,8 @@
   void seal();
   bool isSealed() const;
 
-  /// \brief Drops keys whose expiry and margin have passed.
+  /// \brief Drops keys whose expiry and margin have passed and that are not
+  /// running. Linear in the number of keys when there is one to drop.
   void expire(base::wall_time Now);
   std::size_t size() const;
 
--- a/include/skylarkdyke/once/witness_table.hpp
+++ b/include/skylarkdyke/once/witness_table.hpp
@@ -11,7 +11,13 @@
 namespace skylarkdyke::once {
 
 /// \brief Answer to a record request. Only Recorded lets the owner dispatch.
-enum class record_result { Recorded, Sealed, Full };
+enum class record_result {
+  Recorded,
+  Sealed,
+  Full,
+  /// The key does not name this witness and that owner, or has expired.
+  Refused,
+};
 
 /// \brief Answer to a seal request.
 enum class seal_result {
@@ -28,21 +34,29 @@
 /// Pure; not thread-safe.
 class witness_table {
 public:
-  /// \param MaxRecords largest number of intents held
-  explicit witness_table(std::size_t MaxRecords);
+  /// \param Self incarnation that keys must name as their witness. A restarted
+  /// witness has another one, so it does not answer for records that it lost.
+  /// \param MaxRecords largest number of intents, and of sealed owners, held
+  witness_table(base::incarnation_id Self, std::size_t MaxRecords);
   ~witness_table();
 
-  /// \brief Records an intent of an owner, unless the owner is sealed.
-  /// \param Expiry expiry of the key; the record is kept until it and a margin
-  /// have passed
+  /// \brief Records an intent of an owner, unless the owner is sealed. A
+  /// repeated record has no further effect.
+  /// \param Key text of the key, with its prefix
+  /// \param Expiry expiry of the key; the record is kept until it and
+  /// ExpiryMargin have passed
   record_result record(base::incarnation_id Owner, const std::string &Key,
                        base::wall_time Expiry, base::wall_time Now);
 
-  /// \brief Seals an owner for good and tells about one key.
+  /// \brief Seals an owner and tells about one key. The seal is kept until
+  /// MaxKeyLifetime and ExpiryMargin after the last call for the owner, so
+  /// every key that the owner issued before then has expired. Without room for
+  /// another seal, the answer is NotKnown.
   seal_result seal(base::incarnation_id Owner, const std::string &Key,
                    base::wall_time Expiry, base::wall_time Now);
 
-  /// \brief Drops what has expired.
+  /// \brief Drops what has expired. Linear in the number of records when there
+  /// is one to drop.
   void expire(base::wall_time Now);
   std::size_t size() const;
 
--- a/include/skylarkdyke/poison/crash_register.hpp
+++ b/include/skylarkdyke/poison/crash_register.hpp
@@ -4,6 +4,8 @@
 #include "skylarkdyke/base/clock.hpp"
 #include "skylarkdyke/base/names.hpp"
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -11,6 +13,17 @@
 
 namespace skylarkdyke::poison {
 
+/// How long a fingerprint stays blocked after its latest crash.
+inline constexpr std::chrono::minutes BlockLength{10};
+
+/// Crashes of one fingerprint that block it.
+inline constexpr unsigned CrashesToBlock = 2;
+
+/// Reports of one fingerprint at one target within this time are one crash: two
+/// requests that ran there at once lose their connections together, and the
+/// crash is detected within 1 s.
+inline constexpr std::chrono::seconds SameCrashInterval{1};
+
 /// \brief One crash of a target while it ran a request; sent to all entries.
 struct crash_report {
   /// Unique per crash, so that a repeated report counts once.
@@ -42,16 +55,17 @@
 /// after target. Pure; not thread-safe; bounded.
 class crash_register {
 public:
-  /// \param MaxFingerprints largest number of fingerprints held
+  /// \param MaxFingerprints largest number of fingerprints held; beyond it the
+  /// one whose latest crash is the oldest is dropped
   explicit crash_register(std::size_t MaxFingerprints);
   ~crash_register();
 
   /// \brief Counts a crash seen here or reported by a peer.
-  /// \return false if the report was known already
+  /// \return false if the report or its crash was known already
   bool add(const crash_report &Report, base::wall_time Now);
 
   /// \brief A request with this fingerprint was completed: its count starts
-  /// again from zero.
+  /// again from zero, and a block ends.
   void clear(std::uint64_t Fingerprint);
 
   /// \brief Ends a block, by an operator's decision.
