--- a/src/config/codec.cpp
+++ b/src/config/codec.cpp
@@ -1,5 +1,7 @@
 #include "skylarkdyke/config/codec.hpp"
 
+#include "skylarkdyke/config/scope.hpp"
+
 #include <array>
 #include <cmath>
 #include <ctime>
@@ -38,28 +40,22 @@
     for (++Rest; *Rest >= '0' && *Rest <= '9'; ++Rest, Scale /= 10)
       Fraction += (*Rest - '0') * Scale;
   }
-  if (std::string_view(Rest) != "Z")
+  // A zero byte inside the text would end the comparison early.
+  if (std::string_view(Rest) != "Z" || Copy.find('\0') != std::string::npos)
+    return std::nullopt;
+  // Years outside this range would overflow system_clock, which counts
+  // nanoseconds in 64 bits.
+  if (Utc.tm_year < 1970 - 1900 || Utc.tm_year >= 2200 - 1900)
     return std::nullopt;
-  return system_clock::from_time_t(timegm(&Utc)) +
+  // timegm turns a day that the month does not have into one of the next month.
+  const int Month = Utc.tm_mon;
+  const std::time_t Whole = timegm(&Utc);
+  if (Utc.tm_mon != Month)
+    return std::nullopt;
+  return system_clock::from_time_t(Whole) +
          milliseconds(std::lround(Fraction * 1000));
 }
 
-static const char *toText(drain_scope Scope) {
-  switch (Scope) {
-  case drain_scope::Target:
-    return "target";
-  case drain_scope::Domain:
-    return "domain";
-  case drain_scope::Region:
-    return "region";
-  }
-  return "";
-}
-
-static const char *toText(drain_action Action) {
-  return Action == drain_action::Leave ? "leave" : "return";
-}
-
 static json encodeRegion(const region &Region) {
   json Domains = json::array();
   for (const base::domain_name &Domain : Region.Domains)
@@ -92,9 +88,9 @@
 }
 
 static json encodeDrain(const drain &Drain) {
-  return {{"scope", toText(Drain.Scope)},
+  return {{"scope", toString(Drain.Scope)},
           {"name", Drain.Name},
-          {"action", toText(Drain.Action)},
+          {"action", toString(Drain.Action)},
           {"start", formatTime(Drain.Start)}};
 }
 
