--- /dev/null
+++ b/include/skylarkdyke/entries/message.hpp
@@ -0,0 +1,105 @@
+#ifndef SKYLARKDYKE_ENTRIES_MESSAGE_HPP
+#define SKYLARKDYKE_ENTRIES_MESSAGE_HPP
+
+#include "skylarkdyke/base/clock.hpp"
+#include "skylarkdyke/base/endpoint.hpp"
+#include "skylarkdyke/base/names.hpp"
+#include "skylarkdyke/caps/cap.hpp"
+#include "skylarkdyke/entries/member.hpp"
+#include "skylarkdyke/once/key.hpp"
+#include "skylarkdyke/once/witness_table.hpp"
+#include "skylarkdyke/poison/crash_register.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace skylarkdyke::entries {
+
+/// \brief Introduces the sender. The first message on every connection, and
+/// sent again when the sender's state changes.
+struct hello {
+  /// Reachable is not transmitted.
+  member Self;
+  std::optional<std::uint32_t> Seat;
+};
+
+/// \brief What one entry currently does for one service.
+struct service_load {
+  base::service_name Service;
+  std::uint32_t InFlight = 0;
+  std::uint32_t Queued = 0;
+};
+
+/// \brief Periodic sign of life.
+struct heartbeat {
+  /// Increases by one per heartbeat of the sender.
+  std::uint64_t Sequence = 0;
+  std::uint64_t ConfigVersion = 0;
+  bool Leaving = false;
+  std::vector<service_load> Loads;
+  /// Peer addresses of the members that the sender is connected to. Empty in
+  /// most heartbeats, because the list changes rarely.
+  std::vector<base::endpoint> Members;
+};
+
+/// \brief Asks for the configuration document of at least this version.
+struct config_request {
+  std::uint64_t Version = 0;
+};
+
+struct config_document {
+  std::uint64_t Version = 0;
+  /// The document as JSON text.
+  std::string Text;
+};
+
+/// \brief Asks a witness to record an intent before the owner dispatches.
+struct intent_record {
+  std::uint64_t RequestId = 0;
+  base::incarnation_id Owner;
+  base::incarnation_id Witness;
+  /// The whole idempotency key.
+  std::string Key;
+  base::wall_time Expiry;
+};
+
+struct intent_ack {
+  std::uint64_t RequestId = 0;
+  once::record_result Result = once::record_result::Full;
+};
+
+/// \brief Asks a witness to refuse all later intents of an owner.
+struct seal_request {
+  std::uint64_t RequestId = 0;
+  base::incarnation_id Owner;
+  base::incarnation_id Witness;
+  std::string Key;
+  base::wall_time Expiry;
+};
+
+struct seal_reply {
+  std::uint64_t RequestId = 0;
+  once::seal_result Result = once::seal_result::NotKnown;
+};
+
+/// \brief A message between entries. Times are transmitted in whole
+/// milliseconds.
+using message =
+    std::variant<hello, heartbeat, config_request, config_document,
+                 caps::loan_request, caps::loan_grant, intent_record,
+                 intent_ack, seal_request, seal_reply, poison::crash_report>;
+
+/// Number of message types.
+inline constexpr std::size_t MessageTypes = std::variant_size_v<message>;
+
+/// \brief Name of a message type on the wire.
+/// \param Index index of the type in message
+const char *typeName(std::size_t Index);
+
+} // namespace skylarkdyke::entries
+
+#endif
