Add the steering decisions besides target choice

Cause: drains, lookups, client regions, failover, retries and failure detection were described in the design only.

--- /dev/null
+++ b/include/skylarkdyke/steering/client_blocks.hpp
@@ -0,0 +1,70 @@
+#ifndef SKYLARKDYKE_STEERING_CLIENT_BLOCKS_HPP
+#define SKYLARKDYKE_STEERING_CLIENT_BLOCKS_HPP
+
+#include "skylarkdyke/config/document.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace skylarkdyke::steering {
+
+/// \brief A block of IPv4 addresses.
+struct ipv4_prefix {
+  /// First address in host byte order.
+  std::uint32_t Address = 0;
+  unsigned Length = 0;
+};
+
+/// \brief Parses a dotted IPv4 address.
+/// \return the address in host byte order, or nothing
+std::optional<std::uint32_t> parseAddress(std::string_view Text);
+
+/// \brief Parses a prefix in CIDR notation; bits after the length are cleared.
+/// \return the prefix, or nothing
+std::optional<ipv4_prefix> parsePrefix(std::string_view Text);
+
+/// \brief Longest-prefix table from client addresses to regions.
+///
+/// The prefixes are flattened into disjoint ranges of addresses, sorted, with
+/// an index over the upper 16 bits. Immutable; safe for concurrent reads.
+class client_blocks {
+public:
+  /// \brief Builds the table. Of equal prefixes the last one counts. Prefixes
+  /// that do not parse are left out; the validation of the document finds them.
+  /// Complexity: O(n log n) for n blocks; at most 2n + 1 ranges of 6 bytes.
+  explicit client_blocks(const std::vector<config::client_block> &Blocks);
+
+  /// \brief Finds the region of an address.
+  /// Complexity: O(log k) for k ranges with the address's upper 16 bits.
+  /// \param Address in host byte order
+  /// \return the region of the longest prefix that contains the address, or
+  /// null
+  const base::region_name *find(std::uint32_t Address) const;
+
+  /// \brief As above, for an address in dotted form; null if it is not one.
+  const base::region_name *find(std::string_view Address) const;
+
+  /// \brief Memory held by the table.
+  std::size_t memoryBytes() const;
+
+private:
+  using region_index = std::uint16_t;
+
+  void addRange(std::uint32_t Start, region_index Region);
+  void indexUpperBits();
+
+  /// First address of each range. A range ends before the next one.
+  std::vector<std::uint32_t> Starts;
+  /// Region of each range; 0 is no region.
+  std::vector<region_index> RangeRegions;
+  /// For each value of the upper 16 bits the first range that starts there or
+  /// later.
+  std::vector<std::uint32_t> FirstRange;
+  std::vector<base::region_name> Regions;
+};
+
+} // namespace skylarkdyke::steering
+
+#endif
--- /dev/null
+++ b/tests/unit-steering-client-blocks.cpp
@@ -0,0 +1,80 @@
+#include "skylarkdyke/steering/client_blocks.hpp"
+
+#include <rapidcheck.h>
+
+// Last, because it redefines "new".
+#include <CppUTest/TestHarness.h>
+
+using namespace skylarkdyke;
+using steering::client_blocks;
+
+static std::string dotted(std::uint32_t Address) {
+  std::string Text;
+  for (int Shift = 24; Shift >= 0; Shift -= 8)
+    Text += std::to_string(Address >> Shift & 255U) + (Shift > 0 ? "." : "");
+  return Text;
+}
+
+/// The longest matching prefix by reading all blocks.
+static const base::region_name *
+scan(const std::vector<config::client_block> &Blocks, std::uint32_t Address) {
+  const base::region_name *Found = nullptr;
+  unsigned FoundLength = 0;
+  for (const auto &Block : Blocks) {
+    const auto Prefix = *steering::parsePrefix(Block.Prefix);
+    const std::uint64_t Size = std::uint64_t{1} << (32 - Prefix.Length);
+    if (Address < Prefix.Address || Address - Prefix.Address >= Size ||
+        (Found && Prefix.Length < FoundLength))
+      continue;
+    Found = &Block.Region;
+    FoundLength = Prefix.Length;
+  }
+  return Found;
+}
+
+TEST_GROUP(ClientBlocks){};
+
+// Guards against clients sent to the region of a wider or neighbouring block.
+TEST(ClientBlocks, EqualsALinearScan) {
+  CHECK(rc::check([] {
+    std::vector<config::client_block> Blocks;
+    std::vector<std::uint32_t> Addresses{0, 0xffffffffU};
+    const int Count = *rc::gen::inRange(0, 60);
+    Blocks.reserve(static_cast<std::size_t>(Count));
+    // Few distinct upper bits, so that blocks nest and touch.
+    const auto Bits = *rc::gen::element(0xffffffffU, 0xc0030007U, 0x0001ff03U);
+    for (int I = 0; I < Count; ++I) {
+      const auto Address = *rc::gen::arbitrary<std::uint32_t>() & Bits;
+      const auto Length = *rc::gen::inRange(0, 33);
+      Blocks.push_back(
+          {dotted(Address) + "/" + std::to_string(Length),
+           base::region_name(std::to_string(*rc::gen::inRange(0, 4)))});
+      const auto First = steering::parsePrefix(Blocks.back().Prefix)->Address;
+      const std::uint64_t Size = std::uint64_t{1} << (32 - Length);
+      const auto Last = static_cast<std::uint32_t>(First + Size - 1);
+      for (const auto Near : {Address, First, First - 1, Last, Last + 1})
+        Addresses.push_back(Near);
+    }
+    const client_blocks Table(Blocks);
+    for (const std::uint32_t Address : Addresses) {
+      const auto *Expected = scan(Blocks, Address);
+      const auto *Found = Table.find(Address);
+      RC_ASSERT((Expected == nullptr) == (Found == nullptr));
+      if (Found)
+        RC_ASSERT(*Found == *Expected);
+      RC_ASSERT(Table.find(dotted(Address)) == Found);
+    }
+  }));
+}
+
+// Guards against malformed text being read as some other address.
+TEST(ClientBlocks, RefusesMalformedText) {
+  for (const char *Text : {"", "1.2.3", "1.2.3.4.5", "1.2.3.256", "01.2.3.4",
+                           "1.2.3.-4", "1.2.3.4 ", "::1", "a.b.c.d"}) {
+    CHECK(!steering::parseAddress(Text));
+    CHECK(!steering::parsePrefix(std::string(Text) + "/8"));
+  }
+  for (const char *Text : {"1.2.3.4", "1.2.3.4/", "1.2.3.4/33", "1.2.3.4/8x"})
+    CHECK(!steering::parsePrefix(Text));
+  LONGS_EQUAL(0x0a000000, steering::parsePrefix("10.1.2.3/8")->Address);
+}
