Forward requests with deadlines, keys, dispatchers, caps and retries

Cause: the caller service of the thin path chose targets in turn, ran every request that arrived and knew neither keys nor caps.

Ruled out: sending a keyed request of another entry's dispatcher through that entry's own ledger, since the key is not its incarnation's; instead the owner passes its ledger and witness first and then leaves the choice of the target to the dispatcher, which accepts this only from the address of the member that the key names. Checks of the deadline, the service and the block before the ledger, because a repeated key that was run would then be told not-run.

Change: callers is split into request context, lookup, key gate (ledger, intent, seal), relay, dispatch queue, forwarder, crash guard and problem details. Queues are bounded and locked for each service and region. A request that any attempt may have run stays unknown. An incarnation that was replaced keeps telling the outcomes of its keys.

Conclusion: each outcome is tested against emulated targets. The assembly of the entry with mesh, seats and graceful stop is still to come.

--- a/include/skylarkdyke/base/bounded_ring.hpp
+++ b/include/skylarkdyke/base/bounded_ring.hpp
@@ -57,6 +57,12 @@
     NotEmpty.notify_all();
   }
 
+  /// \brief Tells whether close() was called.
+  bool isClosed() const {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    return Closed;
+  }
+
   /// \brief Number of waiting items.
   std::size_t size() const {
     const std::lock_guard<std::mutex> Lock(Mutex);
--- a/include/skylarkdyke/base/event.hpp
+++ b/include/skylarkdyke/base/event.hpp
@@ -21,6 +21,12 @@
   // 300: store
   StoreUnavailable = 300,
   StoreAvailable = 301,
+  // 500: callers and targets
+  TargetCrashed = 500,
+  RequestBlocked = 501,
+  AnswerOfOtherRequest = 502,
+  IncarnationSealed = 503,
+  OwnerSealed = 504,
 };
 
 /// \brief The number of an event as it stands in the log.
--- /dev/null
+++ b/src/callers/detail/lookup.cpp
@@ -0,0 +1,102 @@
+#include "callers/detail/lookup.hpp"
+
+#include "skylarkdyke/config/codec.hpp"
+#include "skylarkdyke/once/key.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace skylarkdyke::callers::detail {
+
+using nlohmann::json;
+using once::outcome;
+
+/// How long a key may be used after the lookup answer has expired: a caller
+/// sends a request just before, and repeats it after a lost answer.
+static constexpr std::chrono::seconds KeyUseAfterLookup{30};
+
+base::incarnation_id chooseWitness(const snapshot &Snapshot) {
+  const entries::member &Self = Snapshot.Self;
+  const entries::member *Best = nullptr;
+  // Names after the own one come first, so that the entries of a region do not
+  // all have the same witness.
+  const auto Rank = [&Self](const entries::member &Member) {
+    return std::make_pair(!(Self.Name < Member.Name), Member.Name);
+  };
+  for (const entries::member &Member : Snapshot.Members)
+    if (Member.Region == Self.Region && Member.Domain != Self.Domain &&
+        Member.Ready && Member.Reachable && !Member.Leaving &&
+        (Best == nullptr || Rank(Member) < Rank(*Best)))
+      Best = &Member;
+  return Best == nullptr ? base::incarnation_id{} : Best->Incarnation;
+}
+
+static std::string ownPrefix(const snapshot &Snapshot,
+                             base::wall_time LookupExpiry) {
+  const auto Expiry =
+      std::chrono::floor<std::chrono::seconds>(std::min<base::wall_time>(
+          LookupExpiry + KeyUseAfterLookup,
+          std::chrono::system_clock::now() + once::MaxKeyLifetime));
+  return once::toString(
+      {Snapshot.Self.Incarnation, Expiry, chooseWitness(Snapshot)});
+}
+
+/// The region of the client that the request names or comes from. Nothing if
+/// the parameter is not an address.
+static std::optional<base::region_name>
+clientRegion(const http::server_request &Request, const snapshot &Snapshot) {
+  const auto Given = Request.Parameters.find("client");
+  const bool IsGiven = Given != Request.Parameters.end();
+  const std::string &Text = IsGiven ? Given->second : Request.Client.Address;
+  const auto Address = steering::parseAddress(Text);
+  if (!Address)
+    return IsGiven ? std::nullopt : std::optional(Snapshot.Self.Region);
+  const base::region_name *Found = Snapshot.Tables->Blocks.find(*Address);
+  return Found != nullptr ? *Found : Snapshot.Self.Region;
+}
+
+static lookup_answer refuse(problem_code Code, const std::string &Detail) {
+  return {problem(Code, outcome::NotRun, Detail), std::nullopt};
+}
+
+lookup_answer lookUp(const http::server_request &Request,
+                     const snapshot &Snapshot) {
+  const auto Named = Request.Parameters.find("service");
+  if (Named == Request.Parameters.end() || Named->second.empty())
+    return refuse(problem_code::ServiceMissing,
+                  "parameter 'service' is missing");
+  const base::service_name Service(Named->second);
+  const auto &Services = Snapshot.document().Services;
+  if (std::none_of(
+          Services.begin(), Services.end(),
+          [&](const config::service &One) { return One.Name == Service; }))
+    return refuse(problem_code::ServiceUnknown,
+                  "there is no service '" + Service.str() + "'");
+  const auto Region = clientRegion(Request, Snapshot);
+  if (!Region)
+    return refuse(problem_code::ClientAddressInvalid,
+                  "parameter 'client' must be an IPv4 address");
+  const base::wall_time Expiry =
+      std::chrono::system_clock::now() + Snapshot.document().LookupTtl;
+  lookup_answer Result{{outcome::Completed, {}}, std::nullopt};
+  json Entries = json::array();
+  for (const entries::member *Member :
+       Snapshot.Order.entriesFor(Service, *Region)) {
+    json Entry = {{"address", base::toString(Member->CallerAddress)},
+                  {"region", Member->Region.str()}};
+    if (Member->Incarnation == Snapshot.Self.Incarnation) {
+      Entry["key_prefix"] = ownPrefix(Snapshot, Expiry);
+      Result.NamedUntil = Expiry;
+    }
+    Entries.push_back(std::move(Entry));
+  }
+  http::response &Response = Result.Answer.Response;
+  Response.Headers["Content-Type"] = "application/json";
+  Response.Body = json{{"service", Service.str()},
+                       {"entries", std::move(Entries)},
+                       {"expires_at", config::formatTime(Expiry)}}
+                      .dump();
+  return Result;
+}
+
+} // namespace skylarkdyke::callers::detail
--- /dev/null
+++ b/src/callers/detail/request_context.cpp
@@ -0,0 +1,125 @@
+#include "callers/detail/request_context.hpp"
+
+#include "skylarkdyke/poison/crash_register.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace skylarkdyke::callers::detail {
+
+using once::outcome;
+
+static constexpr std::array<std::string_view, 4> SafeMethods = {
+    "GET", "HEAD", "OPTIONS", "TRACE"};
+static constexpr std::array<std::string_view, 4> KeyedMethods = {
+    "POST", "PUT", "PATCH", "DELETE"};
+/// Latest deadline that is read, in Unix milliseconds (year 5138). Later ones
+/// could overflow the clock.
+static constexpr std::int64_t LatestDeadline = 100'000'000'000'000;
+
+template <typename Methods>
+static bool contains(const Methods &List, const std::string &Method) {
+  return std::find(List.begin(), List.end(), Method) != List.end();
+}
+
+template <typename Number>
+static std::optional<Number> parseNumber(const std::string &Text, int Base) {
+  Number Value{};
+  const char *End = Text.data() + Text.size();
+  const auto [Rest, Failure] = std::from_chars(Text.data(), End, Value, Base);
+  if (Failure != std::errc() || Rest != End)
+    return std::nullopt;
+  return Value;
+}
+
+void request_context::limitDeadline(base::wall_time Latest) {
+  if (Latest >= WallDeadline)
+    return;
+  WallDeadline = Latest;
+  Deadline = std::min(Deadline, base::toBootTime(Latest));
+}
+
+/// Splits "/s/<service>/<path>?<query>".
+static void readPath(const std::string &Path, request_context &Context) {
+  const std::size_t End = Path.find_first_of("/?", ForwardPath.size());
+  Context.Service = base::service_name(
+      Path.substr(ForwardPath.size(), End - ForwardPath.size()));
+  Context.TargetPath = End == std::string::npos ? "/" : Path.substr(End);
+  if (Context.TargetPath.front() == '?')
+    Context.TargetPath.insert(0, "/");
+}
+
+static std::optional<answer> readDeadline(request_context &Context) {
+  const std::chrono::milliseconds MaxWait =
+      Context.Settings ? Context.Settings->MaxWait : config::service().MaxWait;
+  Context.Deadline = Context.ArrivedAt + MaxWait;
+  Context.WallDeadline = std::chrono::system_clock::now() + MaxWait;
+  const auto Text =
+      http::findHeader(Context.Source->Message.Headers, "Request-Deadline");
+  if (!Text)
+    return std::nullopt;
+  const auto Milliseconds = parseNumber<std::int64_t>(*Text, 10);
+  if (!Milliseconds || *Milliseconds <= 0 || *Milliseconds > LatestDeadline)
+    return problem(problem_code::DeadlineInvalid, outcome::NotRun,
+                   "Request-Deadline must be a Unix time in milliseconds");
+  Context.limitDeadline(
+      base::wall_time(std::chrono::milliseconds(*Milliseconds)));
+  return std::nullopt;
+}
+
+static std::optional<answer> readKey(request_context &Context) {
+  const http::request &Message = Context.Source->Message;
+  Context.IsSafe = contains(SafeMethods, Message.Method);
+  if (Context.IsSafe)
+    return std::nullopt;
+  if (!contains(KeyedMethods, Message.Method))
+    return problem(problem_code::MethodUnknown, outcome::NotRun,
+                   "method '" + Message.Method + "' is not forwarded");
+  const auto Text = http::findHeader(Message.Headers, "Idempotency-Key");
+  if (!Text)
+    return problem(problem_code::KeyMissing, outcome::NotRun,
+                   Message.Method + " requires the header Idempotency-Key");
+  Context.Key = once::parseKey(*Text);
+  if (!Context.Key)
+    return problem(problem_code::KeyInvalid, outcome::NotRun,
+                   "the key must be a key_prefix from a lookup, a dot and a "
+                   "text of the caller, at most " +
+                       std::to_string(once::MaxKeyBytes) + " bytes");
+  return std::nullopt;
+}
+
+base::result<request_context, answer>
+readRequest(const http::server_request &Source,
+            const config::document &Document) {
+  const http::request &Message = Source.Message;
+  request_context Context;
+  Context.Source = &Source;
+  Context.ArrivedAt = base::boot_clock::now();
+  readPath(Message.Target, Context);
+  const auto Service = std::find_if(
+      Document.Services.begin(), Document.Services.end(),
+      [&](const config::service &One) { return One.Name == Context.Service; });
+  if (Service != Document.Services.end())
+    Context.Settings = *Service;
+  if (auto Refused = readKey(Context))
+    return std::move(*Refused);
+  if (auto Refused = readDeadline(Context))
+    return std::move(*Refused);
+  Context.Fingerprint = poison::fingerprintOf(Context.Service, Message.Method,
+                                              Context.TargetPath, Message.Body);
+  if (const auto Sender = http::findHeader(Message.Headers, "Relayed-By"))
+    // A value that is no incarnation still marks the request as relayed: it
+    // must not be relayed again.
+    Context.RelayedBy = base::incarnation_id{
+        parseNumber<std::uint64_t>(*Sender, 16).value_or(0)};
+  return Context;
+}
+
+std::string formatDeadline(base::wall_time Deadline) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                            Deadline.time_since_epoch())
+                            .count());
+}
+
+} // namespace skylarkdyke::callers::detail
--- /dev/null
+++ b/tests/unit-callers-dispatch.cpp
@@ -0,0 +1,140 @@
+#include "skylarkdyke/callers/problem_code.hpp"
+#include "support/fake_entry.hpp"
+
+#include <algorithm>
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace skylarkdyke;
+using namespace std::chrono_literals;
+using callers::counter;
+using callers::problem_code;
+using test_support::fake_entry;
+using test_support::header;
+
+TEST_GROUP(callers_dispatch) {
+  test_support::fake_targets Targets;
+  emulators::target_behaviour Behaviour;
+  std::unique_ptr<fake_entry> Entry;
+
+  void setup() override { Behaviour.Slots = 2; }
+
+  void start() {
+    Entry = std::make_unique<fake_entry>("e1", "r1", Targets.Document);
+  }
+
+  /// Answers of as many concurrent GETs.
+  static std::vector<http::response> flood(fake_entry & At, const char *Path,
+                                           std::size_t Count) {
+    std::vector<http::response> Answers(Count);
+    std::vector<std::thread> Threads;
+    Threads.reserve(Count);
+    for (http::response &Answer : Answers)
+      Threads.emplace_back(
+          [&At, Path, &Answer] { Answer = At.call("GET", Path); });
+    for (std::thread &Thread : Threads)
+      Thread.join();
+    return Answers;
+  }
+
+  static std::size_t countOf(const std::vector<http::response> &Answers,
+                             problem_code Code) {
+    return static_cast<std::size_t>(std::count_if(
+        Answers.begin(), Answers.end(), [Code](const http::response &One) {
+          return test_support::problemCode(One) == callers::number(Code);
+        }));
+  }
+};
+
+// Guards against a queue that grows without bound, and against a flood of one
+// service that delays another.
+TEST(callers_dispatch, AFullQueueRefusesAndHoldsUpNoOtherService) {
+  Behaviour.WorkTime = 50ms;
+  Targets.add("flooded", "r1", Behaviour);
+  Behaviour.WorkTime = 1ms;
+  Targets.add("quiet", "r1", Behaviour);
+  start();
+  std::vector<http::response> Answers;
+  std::thread Flood([&] { Answers = flood(*Entry, "/s/flooded/x", 40); });
+  CHECK_TRUE(test_support::eventually(
+      [&] { return Entry->Service->counts().get(counter::QueueFull) > 0; }));
+  const auto Start = base::boot_clock::now();
+  CHECK_EQUAL(200, Entry->call("GET", "/s/quiet/x").Status);
+  CHECK_TRUE(base::boot_clock::now() - Start < 50ms);
+  Flood.join();
+  // 2 slots and 8 waiting requests for each.
+  CHECK_EQUAL(40u - 18u, countOf(Answers, problem_code::QueueFull));
+  for (const http::response &Answer : Answers)
+    if (Answer.Status == 503) {
+      STRCMP_EQUAL("not-run", header(Answer, "Request-Outcome").c_str());
+      STRCMP_EQUAL("1", header(Answer, "Retry-After").c_str());
+    }
+  CHECK_EQUAL(18u, Targets.Targets[0]->journal().size());
+}
+
+// Guards against a request that goes out although a cap leaves no share.
+TEST(callers_dispatch, ARequestOverACapIsNotSent) {
+  Targets.add("stock", "r1", Behaviour);
+  start();
+  Entry->CapsLeft = false;
+  const auto Answer = Entry->call("GET", "/s/stock/x");
+  CHECK_EQUAL(callers::number(problem_code::CapExhausted),
+              test_support::problemCode(Answer));
+  STRCMP_EQUAL("not-run", header(Answer, "Request-Outcome").c_str());
+  STRCMP_EQUAL("1", header(Answer, "Retry-After").c_str());
+  CHECK_EQUAL(0u, Targets.runs());
+}
+
+// Guards against bytes on a link that its cap does not count, in either
+// direction, and against the reserve for the answer staying taken.
+TEST(callers_dispatch, AnotherRegionTakesTheLinkBothWays) {
+  Targets.add("stock", "r2", Behaviour);
+  Targets.Document->Links.push_back(
+      {base::region_name("r1"), base::region_name("r2"), 1000000, 1ms});
+  start();
+  // The shift cap admits a failover only in proportion to earlier requests.
+  CHECK_TRUE(test_support::eventually(
+      [&] { return Entry->call("GET", "/s/stock/x").Status == 200; }));
+  CHECK_EQUAL(3u, Entry->Taken.size());
+  CHECK_EQUAL(1u, Entry->GivenBack.size());
+  const auto &Answer = Entry->GivenBack[0];
+  const auto &Link = std::get<caps::link_cap>(Answer.Cap);
+  STRCMP_EQUAL("r2", Link.From.str().c_str());
+  const std::uint64_t Reserved = Entry->Taken[1].Amount;
+  CHECK_EQUAL(std::uint64_t{4096 + 8192} * 8, Reserved);
+  CHECK_TRUE(Answer.Amount < Reserved);
+  CHECK_TRUE(Answer.Amount > Reserved / 2);
+}
+
+// Guards against an entry that sends to targets whose slots another one counts,
+// and against a relay that loses the answer.
+TEST(callers_dispatch, OnlyTheDispatcherSendsWhileItCanBeReached) {
+  Behaviour.WorkTime = 100ms;
+  Behaviour.Slots = 4;
+  Targets.add("stock", "r1", Behaviour);
+  start();
+  fake_entry Other("e2", "r1", Targets.Document);
+  Entry->listen();
+  Other.listen();
+  Entry->meet({Other.Self});
+  Other.meet({Entry->Self});
+  CHECK_EQUAL(200, Entry->call("GET", "/s/stock/x").Status);
+  const bool IsOther =
+      Entry->Service->counts().get(counter::RelayedToDispatcher) == 1;
+  fake_entry &Dispatcher = IsOther ? Other : *Entry;
+  fake_entry &Relaying = IsOther ? *Entry : Other;
+  CHECK_EQUAL(
+      200, Relaying.call("POST", "/s/stock/x", Relaying.key("k"), "b").Status);
+  CHECK_EQUAL(0u, Relaying.Service->counts().get(counter::Attempts));
+  CHECK_EQUAL(2u, Targets.runs());
+
+  Dispatcher.unlisten();
+  const auto Start = base::boot_clock::now();
+  const auto Answers = flood(Relaying, "/s/stock/x", 3);
+  // One slot for direct sends, so three requests take three work times.
+  CHECK_TRUE(base::boot_clock::now() - Start >= 300ms);
+  for (const http::response &Answer : Answers)
+    CHECK_EQUAL(200, Answer.Status);
+  CHECK_EQUAL(3u, Relaying.Service->counts().get(counter::DirectSends));
+}
--- /dev/null
+++ b/tests/unit-callers-outcomes.cpp
@@ -0,0 +1,209 @@
+#include "skylarkdyke/callers/problem_code.hpp"
+#include "support/fake_entry.hpp"
+
+#include <array>
+#include <nlohmann/json.hpp>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace skylarkdyke;
+using namespace std::chrono_literals;
+using callers::counter;
+using callers::problem_code;
+using test_support::header;
+
+TEST_GROUP(callers_outcomes) {
+  test_support::fake_targets Targets;
+  emulators::target_behaviour Behaviour;
+  std::unique_ptr<test_support::fake_entry> Entry;
+
+  void start(std::size_t TargetCount) {
+    Behaviour.WorkTime = 1ms;
+    for (std::size_t Index = 0; Index < TargetCount; ++Index)
+      Targets.add("orders", "r1", Behaviour);
+    Entry = std::make_unique<test_support::fake_entry>("e1", "r1",
+                                                       Targets.Document);
+  }
+
+  /// Pays for two retries.
+  void saveRetries() {
+    for (int Count = 0; Count < 20; ++Count)
+      CHECK_EQUAL(200, Entry->call("GET", "/s/orders/x").Status);
+  }
+
+  void configureAll() {
+    for (const auto &Target : Targets.Targets)
+      Target->configure(Behaviour);
+  }
+
+  http::response post(http::header_map Headers = {}, int Socket = -1) {
+    return Entry->call("POST", "/s/orders/x", Entry->key("k"), "body",
+                       std::move(Headers), Socket);
+  }
+
+  void expect(const char *Outcome, problem_code Code,
+              const http::response &Response) {
+    STRCMP_EQUAL(Outcome, header(Response, "Request-Outcome").c_str());
+    CHECK_EQUAL(callers::number(Code), test_support::problemCode(Response));
+  }
+
+  std::uint64_t count(counter Counter) const {
+    return Entry->Service->counts().get(Counter);
+  }
+};
+
+// Guards against a changed answer, a lost key, and fields of one connection
+// that reach the other side.
+TEST(callers_outcomes, PassesOnTheWholeAnswerOfTheTarget) {
+  start(1);
+  const auto Answer = post({{"Connection", "X-Hop"},
+                            {"X-Hop", "1"},
+                            {"Relayed-By", "not-a-number"}});
+  CHECK_EQUAL(200, Answer.Status);
+  STRCMP_EQUAL("completed", header(Answer, "Request-Outcome").c_str());
+  STRCMP_EQUAL("", header(Answer, "Connection").c_str());
+  const auto Body = nlohmann::json::parse(Answer.Body);
+  STRCMP_EQUAL("/x", Body["path"].get<std::string>().c_str());
+  STRCMP_EQUAL(Entry->key("k").c_str(), Body["key"].get<std::string>().c_str());
+}
+
+// Guards against a part of an answer being delivered, and against a second run
+// of a request that may have been run.
+TEST(callers_outcomes, ATruncatedAnswerIsUnknownAndNotSentAgain) {
+  start(2);
+  saveRetries();
+  Behaviour.TruncatesAnswers = true;
+  configureAll();
+  const std::size_t Before = Targets.runs();
+  expect("unknown", problem_code::TargetFailed, post());
+  CHECK_EQUAL(Before + 1, Targets.runs());
+  CHECK_EQUAL(1u, count(counter::AnswerTruncated));
+}
+
+// Guards against a second run when a kept-open connection dies before the
+// answer, which is what clients that resend by themselves do.
+TEST(callers_outcomes, AKeptConnectionThatDiesIsNotUsedToSendAPostAgain) {
+  start(2);
+  saveRetries();
+  Behaviour.ClosesWithoutAnswer = true;
+  configureAll();
+  const std::size_t Before = Targets.runs();
+  expect("unknown", problem_code::TargetFailed, post());
+  CHECK_EQUAL(Before + 1, Targets.runs());
+  CHECK_EQUAL(0u, count(counter::Retries));
+}
+
+// Guards against a late answer being delivered for a later request on the same
+// connection.
+TEST(callers_outcomes, ALateAnswerIsUnknownAndNeverDelivered) {
+  start(1);
+  Targets.Document->Services[0].MaxWait = 60ms;
+  Entry->Service->refresh();
+  Behaviour.LateBy = 100ms;
+  configureAll();
+  expect("unknown", problem_code::DeadlinePassed, post());
+  Behaviour.LateBy = 0us;
+  configureAll();
+  const auto Next = Entry->call("GET", "/s/orders/next");
+  STRCMP_EQUAL(
+      "/next",
+      nlohmann::json::parse(Next.Body)["path"].get<std::string>().c_str());
+}
+
+// Guards against the answer to one request being given to another.
+TEST(callers_outcomes, AnAnswerWithAWrongRequestIdIsDropped) {
+  start(1);
+  Behaviour.AnswersWrongId = true;
+  configureAll();
+  expect("unknown", problem_code::TargetFailed, post());
+  CHECK_EQUAL(1u, count(counter::AnswerOfOtherRequest));
+}
+
+// Guards against a request that was certainly not run being given up while
+// another target has room.
+TEST(callers_outcomes, AShedPostIsSentToAnotherTarget) {
+  start(2);
+  saveRetries();
+  saveRetries();
+  Behaviour.WorkTime = 20ms;
+  Targets.Targets[1]->configure(Behaviour);
+  Behaviour.Draining = true;
+  Targets.Targets[0]->configure(Behaviour);
+  // Requests at the same time use both targets, since the one with fewer slots
+  // in use goes first.
+  std::vector<std::thread> Callers;
+  std::array<int, 4> Statuses{};
+  for (std::size_t Index = 0; Index < Statuses.size(); ++Index)
+    Callers.emplace_back([this, Index, &Statuses] {
+      const std::string Key = Entry->key("k" + std::to_string(Index));
+      Statuses[Index] = Entry->call("POST", "/s/orders/x", Key).Status;
+    });
+  for (std::thread &Caller : Callers)
+    Caller.join();
+  for (const int Status : Statuses)
+    CHECK_EQUAL(200, Status);
+  CHECK_TRUE(count(counter::Shed) > 0);
+  CHECK_EQUAL(count(counter::Shed), count(counter::Retries));
+}
+
+// Guards against retries without a bound when every target sheds.
+TEST(callers_outcomes, ShedEverywhereIsNotRun) {
+  start(2);
+  saveRetries();
+  Behaviour.Draining = true;
+  configureAll();
+  const std::size_t Before = Targets.runs();
+  expect("not-run", problem_code::TargetShed, post());
+  CHECK_EQUAL(Before, Targets.runs());
+  CHECK_TRUE(count(counter::Retries) <= 2);
+}
+
+// Guards against "not-run" after an attempt that may have been run.
+TEST(callers_outcomes, AGetThatWasShedAfterALostAnswerIsUnknown) {
+  start(2);
+  saveRetries();
+  Behaviour.ClosesWithoutAnswer = true;
+  Targets.Targets[0]->configure(Behaviour);
+  Behaviour.ClosesWithoutAnswer = false;
+  Behaviour.Draining = true;
+  Targets.Targets[1]->configure(Behaviour);
+  for (int Count = 0; Count < 4 && count(counter::AnswerMissing) == 0;
+       ++Count) {
+    const auto Answer = Entry->call("GET", "/s/orders/x");
+    if (count(counter::AnswerMissing) > 0)
+      STRCMP_EQUAL("unknown", header(Answer, "Request-Outcome").c_str());
+  }
+  CHECK_TRUE(count(counter::AnswerMissing) > 0);
+}
+
+// Guards against work that starts when nobody waits for its answer any more.
+TEST(callers_outcomes, ADeadlineThatHasPassedSendsNothing) {
+  start(1);
+  expect("not-run", problem_code::DeadlinePassed,
+         post({{"Request-Deadline", "1000"}}));
+  CHECK_EQUAL(0u, Targets.runs());
+  expect("not-run", problem_code::DeadlineInvalid,
+         post({{"Request-Deadline", "soon"}}));
+}
+
+// Guards against a target that goes on working for a caller that has left.
+TEST(callers_outcomes, ACallerThatLeavesCancelsTheWork) {
+  start(1);
+  Behaviour.WorkTime = 900ms;
+  configureAll();
+  int Sockets[2];
+  CHECK_EQUAL(0, socketpair(AF_UNIX, SOCK_STREAM, 0, Sockets));
+  std::thread Caller([&] { post({}, Sockets[0]); });
+  CHECK_TRUE(test_support::eventually(
+      [&] { return Targets.Targets[0]->inFlight() == 1; }));
+  close(Sockets[1]);
+  Caller.join();
+  CHECK_EQUAL(1u, count(counter::CallerGone));
+  CHECK_TRUE(test_support::eventually(
+      [&] { return Targets.Targets[0]->inFlight() == 0; }));
+  CHECK_FALSE(Targets.Targets[0]->journal()[0].Finished);
+  close(Sockets[0]);
+}
