Add the mesh between entry processes

One asio thread serves websocketpp server and client over one configuration without locks. Members are found from seeds, from addresses that the caller adds and from the member lists of peers; of two connections between a pair the one dialled by the smaller incarnation stays.

Ruled out: the member list in every heartbeat, which makes the traffic of the mesh grow with the square of its size; it is sent when it has changed. Waiting for the close handshake after a protocol error was ruled out too: a peer that sends garbage does not answer it either.

A connection may send 4 kB before its hello and 1.25 MB per message after it. A process that was stopped does not judge its peers before it has read what waits in its socket buffers.

--- a/include/skylarkdyke/base/event.hpp
+++ b/include/skylarkdyke/base/event.hpp
@@ -21,6 +21,22 @@
   // 300: store
   StoreUnavailable = 300,
   StoreAvailable = 301,
+  // 400: mesh between entries
+  MeshStarted = 400,
+  MeshStopped = 401,
+  MeshListenFailed = 402,
+  MemberJoined = 403,
+  MemberUnreachable = 404,
+  MemberReachable = 405,
+  MemberForgotten = 406,
+  MemberIncarnationChanged = 407,
+  PeerRefused = 408,
+  PeerMessageRefused = 409,
+  PeerTooSlow = 410,
+  PeerSilent = 411,
+  MeshHandlerFailed = 412,
+  PeerConfigInstalled = 413,
+  PeerConfigRefused = 414,
 };
 
 /// \brief The number of an event as it stands in the log.
--- /dev/null
+++ b/tests/unit-entries-mesh.cpp
@@ -0,0 +1,247 @@
+#include "skylarkdyke/entries/codec.hpp"
+#include "skylarkdyke/entries/mesh.hpp"
+#include "support/mesh_group.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <atomic>
+#include <thread>
+
+using namespace skylarkdyke;
+using namespace skylarkdyke::entries;
+using namespace std::chrono_literals;
+using test_support::eventually;
+using test_support::meshSettings;
+using test_support::reachableMembers;
+
+TEST_GROUP(entries_mesh) {
+  std::vector<mesh_settings> Settings;
+  std::vector<std::unique_ptr<mesh>> Meshes;
+
+  // All know the first; the rest is discovered.
+  void prepare(std::size_t Count) {
+    for (std::size_t Index = 0; Index < Count; ++Index) {
+      Settings.push_back(meshSettings("entry-" + std::to_string(Index)));
+      Settings.back().Seeds = {Settings.front().Self.PeerAddress};
+      Meshes.push_back(std::make_unique<mesh>(Settings.back()));
+    }
+  }
+
+  void startAll() {
+    for (const auto &Mesh : Meshes)
+      CHECK_TRUE(Mesh->start());
+    for (const auto &Mesh : Meshes)
+      CHECK_TRUE(eventually(
+          [&] { return reachableMembers(*Mesh) == Meshes.size() - 1; }));
+  }
+
+  base::incarnation_id idOf(std::size_t Index) const {
+    return Settings[Index].Self.Incarnation;
+  }
+
+  hello helloOf(const char *Name) const {
+    return {meshSettings(Name).Self, std::nullopt};
+  }
+};
+
+// Guards against members that are not found through another member.
+TEST(entries_mesh, MembersThatShareOneSeedFormAFullMesh) {
+  prepare(6);
+  startAll();
+  for (const auto &Mesh : Meshes) {
+    CHECK_EQUAL(5U, Mesh->members().size());
+    CHECK_TRUE(eventually([&] { return Mesh->untriedAddresses() == 0; }));
+    CHECK_EQUAL(0U, Mesh->counters().Refused);
+    CHECK_EQUAL(0U, Mesh->counters().Malformed);
+  }
+}
+
+// Guards against both sides closing the other's connection when both dialled.
+TEST(entries_mesh, MembersThatDialEachOtherAtOnceKeepOneConnection) {
+  prepare(2);
+  Settings[0].Seeds = {Settings[1].Self.PeerAddress};
+  Meshes[0] = std::make_unique<mesh>(Settings[0]);
+  startAll();
+  std::this_thread::sleep_for(300ms);
+  CHECK_EQUAL(2U, Meshes[0]->counters().Dials + Meshes[1]->counters().Dials);
+  CHECK_EQUAL(1U, reachableMembers(*Meshes[0]));
+  CHECK_EQUAL(1U, reachableMembers(*Meshes[1]));
+}
+
+// Guards against dead members that stay reachable, and against a returned
+// member that is taken for the dead one.
+TEST(entries_mesh, AStoppedMemberIsMarkedAndReturnsAsANewIncarnation) {
+  prepare(3);
+  startAll();
+  const base::incarnation_id Old = idOf(2);
+  Meshes[2]->stop();
+  CHECK_TRUE(eventually([&] { return reachableMembers(*Meshes[0]) == 1; }));
+  CHECK_EQUAL(2U, Meshes[0]->members().size());
+  Meshes[0]->send(Old, config_request{1});
+  CHECK_TRUE(eventually([&] { return Meshes[0]->counters().Dropped == 1; }));
+  Settings[2].Self.Incarnation = base::drawIncarnation();
+  Meshes[2] = std::make_unique<mesh>(Settings[2]);
+  CHECK_TRUE(Meshes[2]->start());
+  CHECK_TRUE(eventually([&] { return reachableMembers(*Meshes[0]) == 2; }));
+  for (const member &Each : Meshes[0]->members())
+    CHECK_TRUE(Each.Incarnation != Old);
+}
+
+// Guards against a frozen member that stays reachable because its connection
+// is open, and against its connection being kept forever.
+TEST(entries_mesh, AMemberWithoutHeartbeatsIsMarkedAndThenForgotten) {
+  prepare(1);
+  Settings[0].SilenceTimeout = 1500ms;
+  Settings[0].ForgetAfter = 2000ms;
+  Meshes[0] = std::make_unique<mesh>(Settings[0]);
+  startAll();
+  const test_support::raw_peer Frozen(Settings[0].Self.PeerAddress);
+  Frozen.sendMessage(helloOf("frozen"));
+  CHECK_TRUE(eventually([&] { return reachableMembers(*Meshes[0]) == 1; }));
+  const auto Start = base::boot_clock::now();
+  CHECK_TRUE(eventually([&] { return reachableMembers(*Meshes[0]) == 0; }));
+  CHECK_TRUE(base::boot_clock::now() - Start > 800ms);
+  CHECK_EQUAL(1U, Meshes[0]->members().size());
+  CHECK_TRUE(Frozen.isClosedByPeer());
+  CHECK_TRUE(eventually([&] { return Meshes[0]->members().empty(); }));
+}
+
+// Guards against peers that keep a sealed incarnation in their member lists.
+TEST(entries_mesh, AChangedIncarnationReplacesTheOldOneWithoutReconnecting) {
+  prepare(2);
+  startAll();
+  const auto Dials = Meshes[0]->counters().Dials + Meshes[1]->counters().Dials;
+  member Self = Settings[1].Self;
+  Self.Incarnation = base::drawIncarnation();
+  Self.Leaving = true;
+  Meshes[1]->setSelf(Self);
+  CHECK_TRUE(eventually([&] {
+    const auto Members = Meshes[0]->members();
+    return Members.size() == 1 && Members[0].Incarnation == Self.Incarnation &&
+           Members[0].Leaving && Members[0].Reachable;
+  }));
+  CHECK_EQUAL(Dials, Meshes[0]->counters().Dials + Meshes[1]->counters().Dials);
+}
+
+// Guards against a connection that replaces the one of a live member.
+TEST(entries_mesh, AWrongOrRepeatedIncarnationIsRefused) {
+  prepare(2);
+  startAll();
+  hello Own = helloOf("own");
+  Own.Self.Incarnation = idOf(0);
+  hello Repeated{Settings[1].Self, std::nullopt};
+  hello Stolen = helloOf("thief");
+  Stolen.Self.Incarnation = idOf(1);
+  for (const hello &Each : {Own, Repeated, Stolen}) {
+    const test_support::raw_peer Peer(Settings[0].Self.PeerAddress);
+    Peer.sendMessage(Each);
+    CHECK_TRUE(Peer.isClosedByPeer());
+  }
+  CHECK_TRUE(reachableMembers(*Meshes[0]) == 1);
+  STRCMP_EQUAL("entry-1", Meshes[0]->members()[0].Name.str().c_str());
+}
+
+// Guards against malformed and oversized frames that reach a handler or are
+// held in memory, and against an unknown type that ends the connection.
+TEST(entries_mesh, MalformedAndOversizedFramesAreRefusedAndCounted) {
+  prepare(1);
+  startAll();
+  const auto Refuse = [&](auto Send) {
+    const test_support::raw_peer Peer(Settings[0].Self.PeerAddress);
+    Peer.sendMessage(helloOf("peer"));
+    Send(Peer);
+    CHECK_TRUE(Peer.isClosedByPeer());
+  };
+  Refuse([](const auto &Peer) {
+    // {"type": "gossip", "format": 1}
+    Peer.sendFrame("\xa2\x64type\x66gossip\x66"
+                   "format\x01");
+    Peer.sendFrame("not CBOR");
+  });
+  Refuse([](const auto &Peer) { Peer.sendHead(MaxMessageBytes + 1); });
+  const test_support::raw_peer Silent(Settings[0].Self.PeerAddress);
+  const test_support::raw_peer Early(Settings[0].Self.PeerAddress);
+  Early.sendMessage(config_request{1});
+  const test_support::raw_peer BigHello(Settings[0].Self.PeerAddress);
+  BigHello.sendHead(5000);
+  for (const auto *Peer : {&Silent, &Early, &BigHello})
+    CHECK_TRUE(Peer->isClosedByPeer());
+  const mesh_counters Counters = Meshes[0]->counters();
+  CHECK_EQUAL(1U, Counters.Malformed);
+  CHECK_EQUAL(1U, Counters.UnknownType);
+  CHECK_EQUAL(2U, Counters.Oversized);
+  CHECK_EQUAL(2U, Counters.Refused);
+}
+
+// Guards against connections without bound.
+TEST(entries_mesh, ConnectionsOverTheLimitAreRefused) {
+  prepare(1);
+  Settings[0].MaxAccepted = 2;
+  Settings[0].HelloTimeout = 10s;
+  Meshes[0] = std::make_unique<mesh>(Settings[0]);
+  startAll();
+  const test_support::raw_peer First(Settings[0].Self.PeerAddress);
+  const test_support::raw_peer Second(Settings[0].Self.PeerAddress);
+  const test_support::raw_peer Third(Settings[0].Self.PeerAddress);
+  CHECK_TRUE(Third.isClosedByPeer());
+  CHECK_EQUAL(1U, Meshes[0]->counters().OverLimit);
+}
+
+// Guards against a peer that does not read making this entry's memory grow.
+TEST(entries_mesh, ASlowReaderIsCut) {
+  prepare(1);
+  Settings[0].MaxBufferedBytes = 2'000'000;
+  Meshes[0] = std::make_unique<mesh>(Settings[0]);
+  startAll();
+  const test_support::raw_peer Slow(Settings[0].Self.PeerAddress);
+  const hello Hello = helloOf("slow");
+  Slow.sendMessage(Hello);
+  CHECK_TRUE(eventually([&] { return reachableMembers(*Meshes[0]) == 1; }));
+  const config_document Large{1, std::string(1'000'000, 'x')};
+  for (int Count = 0; Count < 20; ++Count) {
+    Meshes[0]->send(Hello.Self.Incarnation, Large);
+    std::this_thread::sleep_for(1ms);
+  }
+  CHECK_TRUE(eventually([&] { return Meshes[0]->counters().TooSlow == 1; }));
+  CHECK_TRUE(eventually([&] { return reachableMembers(*Meshes[0]) == 0; }));
+  CHECK_TRUE(Meshes[0]->counters().Dropped > 0);
+}
+
+// Guards against a request that waits past its deadline, a late or repeated
+// reply that is given to another request, and a wait on a lost connection.
+TEST(entries_mesh, RequestsEndWithTheirReplyOrAtTheDeadline) {
+  prepare(2);
+  std::atomic<int> Copies{1};
+  std::atomic<std::uint64_t> Held{0};
+  Meshes[1]->onMessage<seal_request>(
+      [&](const member &From, const seal_request &Request) {
+        Held = Request.RequestId;
+        for (int Copy = 0; Copy < Copies; ++Copy)
+          Meshes[1]->send(
+              From.Incarnation,
+              seal_reply{Request.RequestId, once::seal_result::Recorded});
+      });
+  startAll();
+  const seal_request Request{0, idOf(0), idOf(1), "key", {}};
+  const auto Ask = [&] {
+    return Meshes[0]->request(idOf(1), Request,
+                              base::boot_clock::now() + 200ms);
+  };
+  const auto Reply = Ask();
+  CHECK_TRUE(Reply.has_value());
+  CHECK_TRUE(std::get<seal_reply>(*Reply).Result ==
+             once::seal_result::Recorded);
+  Copies = 0;
+  const auto Start = base::boot_clock::now();
+  CHECK_FALSE(Ask().has_value());
+  CHECK_TRUE(base::boot_clock::now() - Start >= 200ms);
+  Meshes[1]->send(idOf(0), seal_reply{Held, once::seal_result::Recorded});
+  CHECK_TRUE(eventually([&] { return Meshes[0]->counters().Late == 1; }));
+  Copies = 2;
+  CHECK_TRUE(Ask().has_value());
+  CHECK_TRUE(eventually([&] { return Meshes[0]->counters().Late == 2; }));
+  Meshes[1]->stop();
+  CHECK_TRUE(eventually([&] { return reachableMembers(*Meshes[0]) == 0; }));
+  const auto Lost = base::boot_clock::now();
+  CHECK_FALSE(Meshes[0]->request(idOf(1), Request, Lost + 10s).has_value());
+  CHECK_TRUE(base::boot_clock::now() - Lost < 5s);
+}
