--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -232,15 +232,4 @@
   return Counts;
 }
 
-bool waitUntil(const std::function<bool()> &Condition,
-               std::chrono::milliseconds Timeout) {
-  const auto Deadline = std::chrono::steady_clock::now() + Timeout;
-  while (!Condition()) {
-    if (std::chrono::steady_clock::now() >= Deadline)
-      return false;
-    std::this_thread::sleep_for(20ms);
-  }
-  return true;
-}
-
 } // namespace test_support
--- a/tests/support/cluster.hpp
+++ b/tests/support/cluster.hpp
@@ -5,6 +5,7 @@
 #include "skylarkdyke/emulators/deployment.hpp"
 #include "skylarkdyke/http/client.hpp"
 #include "support/process.hpp"
+#include "support/wait_until.hpp"
 
 #include <filesystem>
 #include <functional>
@@ -104,11 +105,6 @@
   std::map<std::string, process> Processes;
 };
 
-/// \brief Waits until a condition holds.
-/// \return false at the timeout
-bool waitUntil(const std::function<bool()> &Condition,
-               std::chrono::milliseconds Timeout);
-
 } // namespace test_support
 
 #endif
--- a/tests/support/fake_entry.cpp
+++ b/tests/support/fake_entry.cpp
@@ -162,15 +162,4 @@
   return Problem.is_object() ? Problem.value("code", 0) : 0;
 }
 
-bool eventually(const std::function<bool()> &Condition) {
-  const auto Deadline = base::boot_clock::now() + 2s;
-  // A condition may have an effect, so none is asked for again once it held.
-  while (!Condition()) {
-    if (base::boot_clock::now() >= Deadline)
-      return false;
-    std::this_thread::sleep_for(2ms);
-  }
-  return true;
-}
-
 } // namespace test_support
--- a/tests/support/fake_entry.hpp
+++ b/tests/support/fake_entry.hpp
@@ -4,6 +4,7 @@
 #include "skylarkdyke/callers/caller_service.hpp"
 #include "skylarkdyke/emulators/target_emulator.hpp"
 #include "skylarkdyke/http/server.hpp"
+#include "support/wait_until.hpp"
 
 #include <atomic>
 #include <map>
@@ -78,8 +79,6 @@
 std::string header(const http::response &Response, const char *Name);
 /// \brief Number of the problem in a response, or 0.
 int problemCode(const http::response &Response);
-/// \brief Waits up to 2 s for a condition.
-bool eventually(const std::function<bool()> &Condition);
 
 } // namespace test_support
 
--- a/tests/support/mesh_group.cpp
+++ b/tests/support/mesh_group.cpp
@@ -28,16 +28,6 @@
   return Settings;
 }
 
-bool eventually(const std::function<bool()> &Condition) {
-  const auto Deadline = base::boot_clock::now() + 5s;
-  while (!Condition()) {
-    if (base::boot_clock::now() >= Deadline)
-      return false;
-    std::this_thread::sleep_for(5ms);
-  }
-  return true;
-}
-
 std::size_t reachableMembers(const entries::mesh &Mesh) {
   const auto All = Mesh.members();
   return static_cast<std::size_t>(std::count_if(
--- a/tests/support/mesh_group.hpp
+++ b/tests/support/mesh_group.hpp
@@ -2,6 +2,7 @@
 #define SKYLARKDYKE_TESTS_SUPPORT_MESH_GROUP_HPP
 
 #include "skylarkdyke/entries/mesh.hpp"
+#include "support/wait_until.hpp"
 
 #include <functional>
 #include <string>
@@ -11,10 +12,6 @@
 /// \brief Settings of a mesh on a free loopback port with a new incarnation.
 skylarkdyke::entries::mesh_settings meshSettings(const std::string &Name);
 
-/// \brief Waits until a condition holds.
-/// \return false if it does not hold within 5 s
-bool eventually(const std::function<bool()> &Condition);
-
 /// \brief Number of members of a mesh that are reachable.
 std::size_t reachableMembers(const skylarkdyke::entries::mesh &Mesh);
 
