Exchange configurations, intents, loans and crash reports between entries

Sending a loan's renewal to any peer was ruled out as well: the old amount stays unused until its end.

A witness starts an empty table when it takes a new incarnation, and takes intents from the owner's own connection only.

--- a/include/skylarkdyke/entries/mesh.hpp
+++ b/include/skylarkdyke/entries/mesh.hpp
@@ -133,6 +133,10 @@
   void setSelf(const member &Self);
   member self() const;
 
+  /// \brief Changes the description of this entry as setSelf() does, without
+  /// losing a concurrent change.
+  void updateSelf(const std::function<void(member &)> &Change);
+
   /// \brief Sets the seat that hello messages carry.
   void setSeat(std::optional<std::uint32_t> Seat);
 
--- a/src/entries/codec.cpp
+++ b/src/entries/codec.cpp
@@ -251,7 +251,9 @@
 }
 
 static json toMap(const caps::loan_request &Request) {
-  json Map = {{"request_id", Request.RequestId}, {"amount", Request.Amount}};
+  json Map = {{"request_id", Request.RequestId},
+              {"amount", Request.Amount},
+              {"renews", Request.Renews}};
   encodeCap(Request.Cap, Map);
   return Map;
 }
@@ -260,6 +262,7 @@
   Request.RequestId = Map.whole("request_id", 0, Max64);
   Request.Cap = decodeCap(Map);
   Request.Amount = Map.whole("amount", 1, MaxAmount);
+  Request.Renews = Map.whole("renews", 0, Max64);
 }
 
 static json toMap(const caps::loan_grant &Grant) {
@@ -303,14 +306,14 @@
   witnessFromMap(Map, Request);
 }
 
-static constexpr std::array<const char *, 3> RecordNames{"recorded", "sealed",
-                                                         "full"};
+static constexpr std::array<const char *, 4> RecordNames{"recorded", "sealed",
+                                                         "full", "refused"};
 static constexpr std::array<const char *, 3> SealNames{"never_recorded",
                                                        "recorded", "not_known"};
 
-template <typename Enum>
+template <typename Enum, std::size_t Count>
 static Enum decodeName(const fields &Map,
-                       const std::array<const char *, 3> &Names) {
+                       const std::array<const char *, Count> &Names) {
   const std::string Name = Map.text("result", MaxNameBytes);
   const auto *Found = std::find(Names.begin(), Names.end(), Name);
   if (Found == Names.end())
--- a/src/entries/mesh.cpp
+++ b/src/entries/mesh.cpp
@@ -169,13 +169,19 @@
 }
 
 void mesh::setSelf(const member &Self) {
+  updateSelf([&](member &Current) { Current = Self; });
+}
+
+void mesh::updateSelf(const std::function<void(member &)> &Change) {
   base::incarnation_id Old;
+  base::incarnation_id New;
   {
     const std::lock_guard<std::mutex> Lock(Impl->Mutex);
     Old = Impl->Self.Incarnation;
-    Impl->Self = Self;
+    Change(Impl->Self);
+    New = Impl->Self.Incarnation;
   }
-  Impl->post(0, [this, Old, New = Self.Incarnation] {
+  Impl->post(0, [this, Old, New] {
     if (Old != New)
       Impl->Retired.push_back(Old);
     Impl->sendHellos();
--- a/tests/unit-entries-codec.cpp
+++ b/tests/unit-entries-codec.cpp
@@ -94,7 +94,8 @@
   Value = {any<std::uint64_t>(), *rc::anyName()};
 }
 void fill(caps::loan_request &Value) {
-  Value = {any<std::uint64_t>(), any<caps::cap_id>(), anyAmount()};
+  Value = {any<std::uint64_t>(), any<caps::cap_id>(), anyAmount(),
+           any<std::uint64_t>()};
 }
 void fill(caps::loan_grant &Value) {
   Value = {any<std::uint64_t>(), any<caps::cap_id>(), anyAmount(),
@@ -110,7 +111,7 @@
 void fill(seal_request &Value) { fillWitness(Value); }
 void fill(intent_ack &Value) {
   Value = {any<std::uint64_t>(),
-           static_cast<once::record_result>(*rc::gen::inRange(0, 3))};
+           static_cast<once::record_result>(*rc::gen::inRange(0, 4))};
 }
 void fill(seal_reply &Value) {
   Value = {any<std::uint64_t>(),
@@ -140,7 +141,7 @@
   return std::tie(Value.Version, Value.Text);
 }
 auto parts(const caps::loan_request &Value) {
-  return std::tie(Value.RequestId, Value.Cap, Value.Amount);
+  return std::tie(Value.RequestId, Value.Cap, Value.Amount, Value.Renews);
 }
 auto parts(const caps::loan_grant &Value) {
   return std::tie(Value.RequestId, Value.Cap, Value.Amount, Value.Length);
