--- /dev/null
+++ b/tests/unit-poison-crash-register.cpp
@@ -0,0 +1,112 @@
+#include "skylarkdyke/poison/crash_register.hpp"
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <rapidcheck.h>
+#include <set>
+#include <tuple>
+
+// Its macro for "new" must not reach the headers above.
+#include <CppUTest/TestHarness.h>
+
+using namespace skylarkdyke;
+using namespace std::chrono_literals;
+
+static constexpr base::wall_time Start{1'800'000'000s};
+
+static poison::crash_report report(std::uint64_t Id, std::uint64_t Fingerprint,
+                                   const char *Target, base::wall_time At) {
+  return {Id,
+          Fingerprint,
+          base::service_name("s"),
+          base::target_id(Target),
+          "POST /s/x",
+          At};
+}
+
+TEST_GROUP(poison_crash_register){};
+
+// Guards against one crash that is counted twice, because its report was
+// repeated or two requests ran at the target.
+TEST(poison_crash_register, ASingleCrashBlocksNothing) {
+  poison::crash_register Register(4);
+  CHECK_TRUE(Register.add(report(1, 7, "a", Start), Start));
+  CHECK_FALSE(Register.add(report(1, 7, "a", Start), Start + 5s));
+  CHECK_FALSE(Register.add(report(2, 7, "a", Start + 900ms), Start + 1s));
+  CHECK_FALSE(Register.isBlocked(7, Start + 1s));
+  CHECK_TRUE(Register.add(report(3, 7, "b", Start), Start + 1s));
+  CHECK_TRUE(Register.isBlocked(7, Start + 1s));
+  CHECK_EQUAL(2U, Register.blocked(Start + 1s).at(0).Crashes);
+  CHECK_FALSE(Register.isBlocked(7, Start + 1s + poison::BlockLength));
+  CHECK_EQUAL(0U, Register.blocked(Start + 1s + poison::BlockLength).size());
+}
+
+// Guards against a report that is repeated after the count was reset.
+TEST(poison_crash_register, ARepeatedReportDoesNotCountAfterAReset) {
+  poison::crash_register Register(4);
+  Register.add(report(1, 7, "a", Start), Start);
+  CHECK_FALSE(Register.release(7));
+  Register.add(report(2, 7, "b", Start), Start);
+  CHECK_TRUE(Register.release(7));
+  Register.add(report(1, 7, "a", Start), Start);
+  Register.add(report(2, 7, "b", Start), Start);
+  CHECK_FALSE(Register.isBlocked(7, Start));
+}
+
+// Guards against requests that differ only in where one field ends and the
+// next begins.
+TEST(poison_crash_register, FingerprintsSeparateTheFields) {
+  const base::service_name Service("s");
+  CHECK_TRUE(poison::fingerprintOf(Service, "POST", "/a", "b") ==
+             poison::fingerprintOf(Service, "POST", "/a", "b"));
+  CHECK_TRUE(poison::fingerprintOf(Service, "POST", "/a", "b") !=
+             poison::fingerprintOf(Service, "POST", "/ab", ""));
+}
+
+// Guards against any order of crashes, successes and releases that blocks a
+// request with fewer than two crashes, misses one with two, or holds more
+// fingerprints than allowed.
+TEST(poison_crash_register, AgreesWithAListOfCrashes) {
+  constexpr std::size_t MaxFingerprints = 3;
+  CHECK_TRUE(rc::check([](const std::vector<std::array<std::uint8_t, 3>>
+                              &Steps) {
+    poison::crash_register Register(MaxFingerprints);
+    base::wall_time Now = Start;
+    // Fingerprint, number of crashes and end of the block; latest crash last.
+    std::deque<std::tuple<std::uint64_t, unsigned, base::wall_time>> Expected;
+    std::uint64_t Id = 0;
+    for (const auto &[Action, Number, Wait] : Steps) {
+      Now += 2s + 1s * Wait;
+      const std::uint64_t Fingerprint = Number % 5;
+      const auto Found =
+          std::find_if(Expected.begin(), Expected.end(), [&](const auto &Each) {
+            return std::get<0>(Each) == Fingerprint;
+          });
+      const bool Known = Found != Expected.end();
+      const unsigned Count = Known ? std::get<1>(*Found) : 0;
+      const bool Ended = Count >= 2 && Now >= std::get<2>(*Found);
+      const unsigned Choice = Action % 5;
+      if (Known && (Choice < 3 || (Choice == 3 && Count >= 2)))
+        Expected.erase(Found);
+      if (Choice == 0) {
+        Register.clear(Fingerprint);
+      } else if (Choice < 3) {
+        RC_ASSERT(Register.add(report(++Id, Fingerprint, "a", Now), Now));
+        Expected.emplace_back(Fingerprint, Ended ? 1 : Count + 1,
+                              Now + poison::BlockLength);
+        if (Expected.size() > MaxFingerprints)
+          Expected.pop_front();
+      } else if (Choice == 3) {
+        RC_ASSERT(Register.release(Fingerprint) == (Count >= 2));
+      }
+      std::set<std::uint64_t> Blocked;
+      for (const auto &[Each, Crashes, End] : Expected)
+        if (Crashes >= 2 && Now < End)
+          Blocked.insert(Each);
+      RC_ASSERT(Register.blocked(Now).size() == Blocked.size());
+      for (std::uint64_t Each = 0; Each < 5; ++Each)
+        RC_ASSERT(Register.isBlocked(Each, Now) == (Blocked.count(Each) > 0));
+    }
+  }));
+}
