--- a/include/skylarkdyke/steering/failure_detector.hpp
+++ b/include/skylarkdyke/steering/failure_detector.hpp
@@ -43,7 +43,9 @@
 /// \brief Suspects a process when its next heartbeat is late by more than a
 /// margin. The expected arrival is estimated from past ones (W. Chen, S. Toueg,
 /// M. K. Aguilera: On the Quality of Service of Failure Detectors, 2002,
-/// algorithm NFD-E).
+/// algorithm NFD-E). In addition, the estimate starts anew when a heartbeat is
+/// late by more than half of the margin, because a paused sender keeps its
+/// sequence but not its schedule.
 class adaptive_timeout {
 public:
   /// \param Interval between heartbeats at the sender
--- a/src/steering/failure_detector.cpp
+++ b/src/steering/failure_detector.cpp
@@ -48,10 +48,11 @@
     return;
   const auto Count = static_cast<nanoseconds::rep>(Delays.size());
   // A sender that was paused continues its sequence later than its schedule.
-  // The delays from before the pause would then make every heartbeat late.
+  // The delays from before the pause would make the following heartbeats look
+  // late until the window has moved past it.
   const bool Rescheduled =
-      Count > 0 && Now - FirstArrival - sendOffset(Sequence) >
-                       DelaySum / Count + Margin + Interval;
+      Count > 0 &&
+      Now - FirstArrival - sendOffset(Sequence) > DelaySum / Count + Margin / 2;
   if (Count == 0 || Rescheduled) {
     First = Sequence;
     FirstArrival = Now;
--- a/tests/unit-steering-failure-detector.cpp
+++ b/tests/unit-steering-failure-detector.cpp
@@ -37,6 +37,19 @@
   }
 }
 
+// Guards against an adaptive estimate from before a pause of the sender, by
+// which all heartbeats after the pause are late.
+TEST(FailureDetector, AdaptiveEstimateFollowsAPausedSender) {
+  failure_detector Detector = steering::adaptive_timeout(200ms, 150ms, 100);
+  base::boot_time Now = Start;
+  for (std::uint64_t Sequence = 1; Sequence <= 200; ++Sequence) {
+    Now += Sequence == 101 ? 500ms : 200ms;
+    LONGS_EQUAL(Sequence == 1 || Sequence == 101,
+                suspects(Detector, Now - 1ms));
+    heartbeat(Detector, Sequence, Now);
+  }
+}
+
 // Guards against old heartbeats that a restored connection delivers late, and
 // against suspecting a process whose heartbeats vary within the margin.
 TEST(FailureDetector, IgnoresRepeatedHeartbeatsAndToleratesJitter) {
