Add the load generator with verification and the forwarding benchmark

Cause: nothing could send open-loop load through lookups, or compare what callers were told with what targets ran.

Ruled out: closed-loop clients, which hide the time that requests wait while a caller is blocked; one lookup cache for all callers of a stream, which would block them all behind one lookup.

Change: emulators::runLoad sends Poisson arrivals by caller threads that look up, fail over and repeat unknown keys; verifyLoad compares their records with the targets' journals; command load prints both. bench_forwarding compares an entry with direct calls. docs/callers.md and docs/emulators.md describe the interfaces.

--- a/include/skylarkdyke/cli/commands.hpp
+++ b/include/skylarkdyke/cli/commands.hpp
@@ -23,6 +23,9 @@
 int emulateStore(const arguments &Arguments);
 /// \brief Runs emulated targets until SIGTERM or SIGINT.
 int emulateTargets(const arguments &Arguments);
+/// \brief Sends load to entries, prints a summary and compares the answers with
+/// the journals of emulated targets.
+int generateLoad(const arguments &Arguments);
 
 /// \brief Blocks SIGTERM and SIGINT in the calling thread and those it starts
 /// later, and ignores SIGPIPE.
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -30,6 +30,7 @@
        {&cli::emulateStore, "IP:PORT: stand-in for the store"}},
       {"emulate-targets",
        {&cli::emulateTargets, "IP:PORT...: stand-ins for targets"}},
+      {"load", {&cli::generateLoad, "IP:PORT...: send load to entries"}},
   };
   return Commands;
 }
