--- a/include/skylarkdyke/cli/commands.hpp
+++ b/include/skylarkdyke/cli/commands.hpp
@@ -25,6 +25,9 @@
 int emulateStore(const arguments &Arguments);
 /// \brief Runs emulated targets until SIGTERM or SIGINT.
 int emulateTargets(const arguments &Arguments);
+/// \brief Sends load to entries, prints a summary and compares the answers with
+/// the journals of emulated targets.
+int generateLoad(const arguments &Arguments);
 
 /// \brief Writes settings, configuration and proxy plan of an emulated
 /// deployment.
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -37,6 +37,7 @@
       {"make-deployment",
        {&cli::makeDeploymentFiles,
         "DIRECTORY: write the files of an emulated deployment"}},
+      {"load", {&cli::generateLoad, "IP:PORT...: send load to entries"}},
   };
   return Commands;
 }
