--- a/src/caps/share_ledger.cpp
+++ b/src/caps/share_ledger.cpp
@@ -31,6 +31,11 @@
   std::uint64_t RequestId;
   std::uint64_t Amount;
   base::boot_time ReturnAt;
+  /// Request that this one renewed, or 0. The borrower names it again if it did
+  /// not receive the grant.
+  std::uint64_t PreviousId = 0;
+  /// The lender needs this amount itself and did not extend the loan.
+  bool Reclaimed = false;
 };
 
 struct borrowed_amount {
@@ -148,16 +153,21 @@
                        base::boot_time ReturnAt, base::boot_time Now) {
     const auto Found =
         std::find_if(Lent.begin(), Lent.end(), [&](const lent_amount &Each) {
-          return Each.RequestId == Request.Renews && Each.ReturnAt > Now;
+          return (Each.RequestId == Request.Renews ||
+                  Each.PreviousId == Request.Renews) &&
+                 Each.ReturnAt > Now;
         });
     if (Request.Renews == 0 || Found == Lent.end())
       return 0;
     // More than the seat's share can be lent after the cap was lowered.
     const std::uint64_t Excess = difference(lent(Now), SeatShare);
-    const std::uint64_t Missing = difference(
-        recentDemand(Now) + SeatShare / ReserveDivisor, limit(SeatShare, Now));
+    std::uint64_t Coming = limit(SeatShare, Now);
+    for (const lent_amount &Each : Lent)
+      Coming = saturatingSum(Coming, Each.Reclaimed ? Each.Amount : 0);
+    const std::uint64_t Missing = difference(recentDemand(Now), Coming);
     const std::uint64_t Kept = std::min(
         Request.Amount, difference(Found->Amount, std::max(Excess, Missing)));
+    Found->Reclaimed = Kept < Request.Amount;
     if (Kept == 0)
       return 0;
     // The borrower may hold the old loan to its end if this grant is lost.
@@ -165,7 +175,7 @@
     Found->Amount -= Kept;
     if (Found->Amount == 0)
       Lent.erase(Found);
-    Lent.push_back({Request.RequestId, Kept, End});
+    Lent.push_back({Request.RequestId, Kept, End, Request.Renews});
     return Kept;
   }
 
@@ -224,6 +234,11 @@
     // 0 means "no request".
     if (NextRequestId == 0)
       ++NextRequestId;
+    // The lender extends one amount for all renewals of a loan, so only the
+    // grant for the latest one may be accepted.
+    eraseIf(Account.Pending, [Renews](const auto &Each) {
+      return Renews != 0 && Each.Renews == Renews;
+    });
     Account.Pending.push_back({NextRequestId, Renews, Amount, Now});
     Requests.push_back({NextRequestId, Account.Cap, Amount, Renews});
     ++NextRequestId;
--- a/tests/unit-caps-share-ledger.cpp
+++ b/tests/unit-caps-share-ledger.cpp
@@ -169,6 +169,23 @@
   CHECK_EQUAL(10 + Lent, Borrower.states(Now)[0].Share);
 }
 
+// Guards against one extended amount that is borrowed twice, because the grants
+// for two renewals of a loan arrive, the first one late; and against an amount
+// that is lost with the first grant.
+TEST(caps_share_ledger, AcceptsOnlyTheLatestRenewal) {
+  CHECK_TRUE(Borrower.borrow(*Lender.lend(ask(Start), Start), Start));
+  const std::uint64_t Lent = Borrower.states(Start)[0].Share - 10;
+  const auto First = Lender.lend(ask(Start + 1s), Start + 1s);
+  const caps::loan_request Again = ask(Start + 1500ms);
+  CHECK_TRUE(Again.Renews != 0);
+  const auto Second = Lender.lend(Again, Start + 1500ms);
+  CHECK_EQUAL(Lent, Second->Amount);
+  CHECK_TRUE(Borrower.borrow(*Second, Start + 1500ms));
+  CHECK_FALSE(Borrower.borrow(*First, Start + 1500ms));
+  CHECK_EQUAL(10 + Lent, Borrower.states(Start + 1500ms)[0].Share);
+  CHECK_EQUAL(10 - Lent, Lender.states(Start + 1500ms)[0].Share);
+}
+
 // Guards against units that leave the window early, whatever the instant within
 // a bucket, and against a clock reading that is older than the latest one.
 TEST(caps_share_ledger, TheWindowHoldsUnitsForItsWholeLength) {
