Submit documents, watch them and claim seats in the store

Cause: the client opened a connection per call, a submitter could not tell a lost answer from a failure, and there were no seats.

Change: the store client keeps its connections, has sessions and locks, and counts calls and their ends. config_store submits by compare-and-swap; after an unknown effect it repeats the same write and reads until its own submission id, or a later document without it, settles the matter. config_watcher validates before it installs, backs off with jitter and stops a waiting watch through a socket pair. seat_machine is the pure seat protocol, seat_claimer its thread. The store emulator has sessions, the instance list and fault controls.

Decisions: a refused renewal suspends the authority until a read tells why. A release is written 1 s after the last use, the window of the caps, since the next holder may use its full share at once. The margin of a takeover is a thousandth of the lease plus 2 s. After a successful renewal the record is read again, because the store's answer does not carry the new index; a renewal therefore costs two calls.

Ruled out: locks with sessions for seats, because they end in an outage. Going on to another seat while a claim has an unknown effect, because the claim may arrive later and the entry would hold two seats.

Conclusion: the unit tests pass; the fuzz finds no seat used by two.

--- a/include/skylarkdyke/base/event.hpp
+++ b/include/skylarkdyke/base/event.hpp
@@ -18,9 +18,19 @@
   ConfigStaleIgnored = 201,
   ConfigInvalid = 202,
   ConfigConflictingContent = 203,
+  ConfigSubmitted = 204,
+  ConfigSubmitConflict = 205,
+  ConfigSubmitUnknown = 206,
   // 300: store
   StoreUnavailable = 300,
   StoreAvailable = 301,
+  SeatClaimed = 302,
+  SeatLost = 303,
+  SeatReleased = 304,
+  SeatExpired = 305,
+  SeatReleaseConfirmed = 306,
+  PlatformUnavailable = 310,
+  PlatformAvailable = 311,
 };
 
 /// \brief The number of an event as it stands in the log.
--- a/src/cli/command_emulators.cpp
+++ b/src/cli/command_emulators.cpp
@@ -5,6 +5,11 @@
 #include <gflags/gflags.h>
 #include <iostream>
 
+DEFINE_string(control, "",
+              "emulate-store: address of the fault controls, none if empty");
+DEFINE_uint32(instance_lag_ms, 0,
+              "emulate-store: time until a change of the instance list shows");
+DEFINE_uint64(seed, 1, "emulate-store: seed of the random faults");
 DEFINE_uint32(slots, 4, "emulate-targets: slots of each target");
 DEFINE_uint32(work_us, 5000,
               "emulate-targets: time that a request holds its slot, in us");
@@ -14,14 +19,19 @@
 int emulateStore(const arguments &Arguments) {
   const auto Listen =
       Arguments.size() == 1 ? base::parseEndpoint(Arguments[0]) : std::nullopt;
-  if (!Listen) {
-    std::cerr << "usage: skylarkdyke emulate-store IP:PORT\n";
+  const auto Control = base::parseEndpoint(FLAGS_control);
+  if (!Listen || (!FLAGS_control.empty() && !Control)) {
+    std::cerr << "usage: skylarkdyke emulate-store IP:PORT [--control=IP:PORT] "
+                 "[--instance_lag_ms=N] [--seed=N]\n";
     return ExitUsage;
   }
   blockStopSignals();
-  emulators::store_emulator Store(*Listen);
+  emulators::store_emulator Store(
+      {*Listen, Control, std::chrono::milliseconds(FLAGS_instance_lag_ms),
+       FLAGS_seed});
   if (!Store.start()) {
-    std::cerr << "cannot listen on " << Arguments[0] << "\n";
+    std::cerr << "cannot listen on " << Arguments[0]
+              << (Control ? " and " + FLAGS_control : "") << "\n";
     return ExitRefused;
   }
   waitForStopSignal();
--- a/src/config/holder.cpp
+++ b/src/config/holder.cpp
@@ -1,5 +1,7 @@
 #include "skylarkdyke/config/holder.hpp"
 
+#include "skylarkdyke/config/codec.hpp"
+
 namespace skylarkdyke::config {
 
 install_result holder::install(document Document) {
@@ -7,9 +9,8 @@
   if (Current && Document.Version < Current->Version)
     return install_result::Older;
   if (Current && Document.Version == Current->Version)
-    return Document.SubmissionId == Current->SubmissionId
-               ? install_result::SameVersion
-               : install_result::Conflicting;
+    return encode(Document) == encode(*Current) ? install_result::SameVersion
+                                                : install_result::Conflicting;
   Current = std::make_shared<const document>(std::move(Document));
   return install_result::Installed;
 }
--- a/src/store/config_watcher.cpp
+++ b/src/store/config_watcher.cpp
@@ -2,7 +2,10 @@
 
 #include "skylarkdyke/base/event.hpp"
 #include "skylarkdyke/config/codec.hpp"
+#include "skylarkdyke/config/validate.hpp"
+#include "store/detail/backoff.hpp"
 
+#include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
@@ -11,89 +14,134 @@
 
 using namespace std::chrono_literals;
 
-// Short, so that a stop is not held up and a half-open connection is noticed
-// soon.
-static constexpr std::chrono::seconds WatchWait = 2s;
+// A change must be in force everywhere within 5 s, so a connection that died
+// without a sign has to be noticed sooner than that.
+static constexpr std::chrono::seconds WatchWait = 3s;
 static constexpr std::chrono::seconds WatchSlack = 1s;
-static constexpr std::chrono::milliseconds RetryPause = 250ms;
+static constexpr auto FirstPause = 100ms;
+static constexpr auto MaxPause = 2s;
+// Lower bound on the time between answers that bring nothing new. A store that
+// does not wait must not be called in a tight loop.
+static constexpr auto MinTurn = 50ms;
 
 struct config_watcher::impl {
-  impl(client &Store, config::holder &Config) : Store(Store), Config(Config) {}
+  impl(client &Store, config::holder &Config, installed_hook OnInstalled)
+      : Store(Store), Config(Config), OnInstalled(std::move(OnInstalled)) {}
 
   void run();
+  void watchOnce();
   void accept(const value &Value);
-  bool stopped();
+  void install(config::document Document);
+  void noteAvailability(const unavailable *Failure);
+  bool pause(std::chrono::milliseconds Length);
 
   client &Store;
   config::holder &Config;
+  installed_hook OnInstalled;
   std::uint64_t Index = 0;
   bool Available = true;
+  detail::backoff Backoff{FirstPause, MaxPause};
+  http::stop_source Stop;
   std::mutex Mutex;
   std::condition_variable Wake;
   bool Stopping = false;
+  std::atomic<bool> HasAnswer{false};
+  std::atomic<std::uint64_t> Installed{0};
+  std::atomic<std::uint64_t> Stale{0};
+  std::atomic<std::uint64_t> Invalid{0};
+  std::atomic<std::uint64_t> Conflicting{0};
+  std::atomic<std::uint64_t> Failed{0};
   std::thread Thread;
 };
 
-/// Waits for RetryPause; returns true when the watcher is to stop.
-bool config_watcher::impl::stopped() {
+/// Waits for a pause; returns true when the watcher is to stop.
+bool config_watcher::impl::pause(std::chrono::milliseconds Length) {
   std::unique_lock<std::mutex> Lock(Mutex);
-  return Wake.wait_for(Lock, RetryPause, [this] { return Stopping; });
+  return Wake.wait_for(Lock, Length, [this] { return Stopping; });
 }
 
 void config_watcher::impl::accept(const value &Value) {
   auto Document = config::decode(Value.Bytes);
-  if (!Document) {
-    SKYLARKDYKE_LOG(ERROR, ConfigInvalid)
-        << "store index " << Value.ModifyIndex << ": "
-        << base::toString(Document.error());
+  const base::findings Findings =
+      Document ? config::validate(Document.value()) : Document.error();
+  if (Findings.empty()) {
+    install(std::move(Document).value());
     return;
   }
-  const std::uint64_t Version = Document.value().Version;
-  switch (Config.install(std::move(Document).value())) {
+  ++Invalid;
+  SKYLARKDYKE_LOG(ERROR, ConfigInvalid) << "store index " << Value.ModifyIndex
+                                        << ": " << base::toString(Findings);
+}
+
+void config_watcher::impl::install(config::document Document) {
+  const std::uint64_t Version = Document.Version;
+  switch (Config.install(std::move(Document))) {
   case config::install_result::Installed:
+    ++Installed;
     SKYLARKDYKE_LOG(INFO, ConfigInstalled) << "version " << Version;
+    if (OnInstalled)
+      OnInstalled(Config.current());
     break;
   case config::install_result::SameVersion:
     break;
   case config::install_result::Older:
+    ++Stale;
     SKYLARKDYKE_LOG(WARNING, ConfigStaleIgnored) << "version " << Version;
     break;
   case config::install_result::Conflicting:
+    ++Conflicting;
     SKYLARKDYKE_LOG(ERROR, ConfigConflictingContent) << "version " << Version;
     break;
   }
 }
 
-void config_watcher::impl::run() {
-  for (;;) {
-    const read_result Result =
-        Store.watch(ConfigKey, Index, WatchWait,
-                    base::boot_clock::now() + WatchWait + WatchSlack);
-    if (const auto *Value = std::get_if<value>(&Result)) {
-      if (Value->ModifyIndex != Index)
-        accept(*Value);
-      Index = Value->ModifyIndex;
-    } else if (const auto *Missing = std::get_if<not_found>(&Result)) {
-      Index = Missing->Index;
-    }
-    const auto *Failure = std::get_if<unavailable>(&Result);
-    if ((Failure == nullptr) != Available) {
-      Available = Failure == nullptr;
-      if (Available)
-        SKYLARKDYKE_LOG(INFO, StoreAvailable) << "configuration watch resumed";
-      else
-        SKYLARKDYKE_LOG(WARNING, StoreUnavailable) << Failure->Reason;
-    }
-    if (Failure != nullptr && stopped())
-      return;
-    const std::lock_guard<std::mutex> Lock(Mutex);
-    if (Stopping)
+void config_watcher::impl::noteAvailability(const unavailable *Failure) {
+  if ((Failure == nullptr) == Available)
+    return;
+  Available = Failure == nullptr;
+  if (Available)
+    SKYLARKDYKE_LOG(INFO, StoreAvailable) << "configuration watch resumed";
+  else
+    SKYLARKDYKE_LOG(WARNING, StoreUnavailable) << Failure->Reason;
+}
+
+/// Makes one watch and the pause that its result asks for.
+void config_watcher::impl::watchOnce() {
+  const base::boot_time Start = base::boot_clock::now();
+  const read_result Result = Store.watch(ConfigKey, Index, WatchWait,
+                                         Start + WatchWait + WatchSlack, &Stop);
+  if (const auto *Failure = std::get_if<unavailable>(&Result)) {
+    // A watch that ends because of stop() says nothing about the store.
+    if (pause(0ms))
       return;
+    ++Failed;
+    noteAvailability(Failure);
+    pause(Backoff.next());
+    return;
   }
+  noteAvailability(nullptr);
+  Backoff.reset();
+  const std::uint64_t Before = Index;
+  if (const auto *Value = std::get_if<value>(&Result)) {
+    if (Value->ModifyIndex != Index)
+      accept(*Value);
+    Index = Value->ModifyIndex;
+  } else {
+    Index = std::get<not_found>(Result).Index;
+  }
+  HasAnswer = true;
+  if (Index == Before && base::boot_clock::now() - Start < MinTurn)
+    pause(MinTurn);
+}
+
+void config_watcher::impl::run() {
+  while (!pause(0ms))
+    watchOnce();
 }
 
-config_watcher::config_watcher(client &Store, config::holder &Config)
-    : Impl(std::make_unique<impl>(Store, Config)) {}
+config_watcher::config_watcher(client &Store, config::holder &Config,
+                               installed_hook OnInstalled)
+    : Impl(std::make_unique<impl>(Store, Config, std::move(OnInstalled))) {}
 
 config_watcher::~config_watcher() { stop(); }
 
@@ -106,9 +154,17 @@
     const std::lock_guard<std::mutex> Lock(Impl->Mutex);
     Impl->Stopping = true;
   }
+  Impl->Stop.stop();
   Impl->Wake.notify_all();
   if (Impl->Thread.joinable())
     Impl->Thread.join();
 }
 
+bool config_watcher::hasAnswer() const { return Impl->HasAnswer; }
+
+watch_counts config_watcher::counts() const {
+  return {Impl->Installed, Impl->Stale, Impl->Invalid, Impl->Conflicting,
+          Impl->Failed};
+}
+
 } // namespace skylarkdyke::store
