Poll the instance list and add the config command

Cause: entries had no list of live and leaving instances, and operators had no way to submit a document from a shell.

An instance is leaving if it has the tag or the metadata "leaving", or a critical check.

--- a/include/skylarkdyke/cli/commands.hpp
+++ b/include/skylarkdyke/cli/commands.hpp
@@ -19,6 +19,8 @@
 int runEntry(const arguments &Arguments);
 /// \brief Checks a settings file and prints all findings.
 int checkSettings(const arguments &Arguments);
+/// \brief Shows, checks or submits a configuration document.
+int manageConfig(const arguments &Arguments);
 /// \brief Runs the store emulator until SIGTERM or SIGINT.
 int emulateStore(const arguments &Arguments);
 /// \brief Runs emulated targets until SIGTERM or SIGINT.
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -25,6 +25,8 @@
   static const std::map<std::string, command> Commands = {
       {"run", {&cli::runEntry, "SETTINGS.toml: run an entry"}},
       {"check", {&cli::checkSettings, "SETTINGS.toml: check a settings file"}},
+      {"config",
+       {&cli::manageConfig, "show|check FILE|submit FILE: configuration"}},
       {"version", {&printVersion, ": print the version"}},
       {"emulate-store",
        {&cli::emulateStore, "IP:PORT: stand-in for the store"}},
--- /dev/null
+++ b/src/platform/client.cpp
@@ -0,0 +1,119 @@
+#include "skylarkdyke/platform/client.hpp"
+
+#include "skylarkdyke/http/client.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace skylarkdyke::platform {
+
+using nlohmann::json;
+
+static constexpr std::size_t MaxAnswerBytes = std::size_t{4} * 1024 * 1024;
+static constexpr const char *LeavingMark = "leaving";
+
+struct client::impl {
+  base::endpoint Platform;
+  std::optional<http::connection> Connection;
+};
+
+client::client(const base::endpoint &Platform)
+    : Impl(std::make_unique<impl>()) {
+  Impl->Platform = Platform;
+}
+
+client::~client() = default;
+
+/// Member of an object, or null if the value is no object or lacks it.
+static const json &member(const json &Object, const char *Key) {
+  static const json Null;
+  if (!Object.is_object())
+    return Null;
+  const auto Found = Object.find(Key);
+  return Found == Object.end() ? Null : *Found;
+}
+
+static std::string text(const json &Object, const char *Key) {
+  const json &Value = member(Object, Key);
+  return Value.is_string() ? Value.get<std::string>() : std::string();
+}
+
+static bool isLeaving(const json &Item, const instance &Instance) {
+  const auto Meta = Instance.Metadata.find(LeavingMark);
+  if (Meta != Instance.Metadata.end() && Meta->second == "true")
+    return true;
+  const json &Tags = member(member(Item, "Service"), "Tags");
+  if (Tags.is_array() &&
+      std::find(Tags.begin(), Tags.end(), json(LeavingMark)) != Tags.end())
+    return true;
+  const json &Checks = member(Item, "Checks");
+  return Checks.is_array() &&
+         std::any_of(Checks.begin(), Checks.end(), [](const json &Check) {
+           return text(Check, "Status") == "critical";
+         });
+}
+
+static std::optional<instance> parseInstance(const json &Item) {
+  const json &Service = member(Item, "Service");
+  instance Instance;
+  Instance.Id = text(Service, "ID");
+  std::string Address = text(Service, "Address");
+  // A service without an address of its own runs at that of its node.
+  if (Address.empty())
+    Address = text(member(Item, "Node"), "Address");
+  const json &Port = member(Service, "Port");
+  const auto Parsed = base::parseEndpoint(
+      Address + ":" + (Port.is_number_unsigned() ? Port.dump() : ""));
+  if (Instance.Id.empty() || !Parsed)
+    return std::nullopt;
+  Instance.Address = *Parsed;
+  const json &Metadata = member(Service, "Meta");
+  if (Metadata.is_object())
+    for (const auto &[Key, Value] : Metadata.items())
+      if (Value.is_string())
+        Instance.Metadata[Key] = Value.get<std::string>();
+  Instance.IsLeaving = isLeaving(Item, Instance);
+  return Instance;
+}
+
+list_result parseInstances(const std::string &Body) {
+  const json Root = json::parse(Body, nullptr, false);
+  if (!Root.is_array())
+    return unavailable{"malformed answer"};
+  instance_list List;
+  for (const json &Item : Root) {
+    if (auto Instance = parseInstance(Item))
+      List.Instances.push_back(*std::move(Instance));
+    else
+      ++List.Malformed;
+  }
+  return List;
+}
+
+list_result client::list(base::boot_time Deadline, int StopSocket) {
+  http::request Request;
+  Request.Target = "/v1/health/service/skylarkdyke";
+  // A kept connection may have been closed by the platform meanwhile; the read
+  // is then repeated on a new one.
+  for (const bool IsLastTry : {false, true}) {
+    if (!Impl->Connection || !Impl->Connection->isReusable()) {
+      auto Opened = http::connection::open(Impl->Platform, Deadline);
+      if (!Opened)
+        return unavailable{http::toString(Opened.error().Fault)};
+      Impl->Connection = std::move(Opened).value();
+    }
+    const auto Response = Impl->Connection->exchange(
+        Request, {Deadline, MaxAnswerBytes, StopSocket});
+    if (Response && Response.value().Status == 200)
+      return parseInstances(Response.value().Body);
+    if (Response)
+      return unavailable{"status " + std::to_string(Response.value().Status)};
+    const http::exchange_fault Fault = Response.error().Fault;
+    if (IsLastTry || Fault != http::exchange_fault::ClosedWithoutAnswer)
+      return unavailable{http::toString(Fault)};
+  }
+  return unavailable{"not reached"};
+}
+
+} // namespace skylarkdyke::platform
--- /dev/null
+++ b/src/platform/instance_poller.cpp
@@ -0,0 +1,102 @@
+#include "skylarkdyke/platform/instance_poller.hpp"
+
+#include "skylarkdyke/base/event.hpp"
+#include "skylarkdyke/http/stop_source.hpp"
+
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+namespace skylarkdyke::platform {
+
+using namespace std::chrono_literals;
+
+// Opening a connection cannot be interrupted, so this also bounds stop().
+static constexpr auto CallTime = 900ms;
+
+struct instance_poller::impl {
+  impl(const base::endpoint &Platform, list_hook OnList,
+       std::chrono::milliseconds Period)
+      : Client(Platform), OnList(std::move(OnList)), Period(Period) {}
+
+  void run();
+  void poll();
+  bool pause(std::chrono::milliseconds Length);
+
+  client Client;
+  list_hook OnList;
+  std::chrono::milliseconds Period;
+  bool Available = true;
+  http::stop_source Stop;
+  mutable std::mutex Mutex;
+  std::condition_variable Wake;
+  bool Stopping = false;
+  std::shared_ptr<const instance_snapshot> Latest;
+  std::thread Thread;
+};
+
+/// Waits for a pause; returns true when the poller is to stop.
+bool instance_poller::impl::pause(std::chrono::milliseconds Length) {
+  std::unique_lock<std::mutex> Lock(Mutex);
+  return Wake.wait_for(Lock, Length, [this] { return Stopping; });
+}
+
+void instance_poller::impl::poll() {
+  const base::boot_time Start = base::boot_clock::now();
+  list_result Result = Client.list(Start + CallTime, Stop.socket());
+  if (pause(0ms))
+    return;
+  const auto *Failure = std::get_if<unavailable>(&Result);
+  if ((Failure == nullptr) != Available) {
+    Available = Failure == nullptr;
+    if (Available)
+      SKYLARKDYKE_LOG(INFO, PlatformAvailable) << "instance list is read again";
+    else
+      SKYLARKDYKE_LOG(WARNING, PlatformUnavailable) << Failure->Reason;
+  }
+  if (Failure != nullptr)
+    return;
+  auto Snapshot = std::make_shared<const instance_snapshot>(
+      instance_snapshot{std::get<instance_list>(std::move(Result)), Start});
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Latest = Snapshot;
+  }
+  if (OnList)
+    OnList(Snapshot->List);
+}
+
+void instance_poller::impl::run() {
+  do
+    poll();
+  while (!pause(Period));
+}
+
+instance_poller::instance_poller(const base::endpoint &Platform,
+                                 list_hook OnList,
+                                 std::chrono::milliseconds Period)
+    : Impl(std::make_unique<impl>(Platform, std::move(OnList), Period)) {}
+
+instance_poller::~instance_poller() { stop(); }
+
+void instance_poller::start() {
+  Impl->Thread = std::thread([this] { Impl->run(); });
+}
+
+void instance_poller::stop() {
+  {
+    const std::lock_guard<std::mutex> Lock(Impl->Mutex);
+    Impl->Stopping = true;
+  }
+  Impl->Stop.stop();
+  Impl->Wake.notify_all();
+  if (Impl->Thread.joinable())
+    Impl->Thread.join();
+}
+
+std::shared_ptr<const instance_snapshot> instance_poller::latest() const {
+  const std::lock_guard<std::mutex> Lock(Impl->Mutex);
+  return Impl->Latest;
+}
+
+} // namespace skylarkdyke::platform
