--- a/include/skylarkdyke/cli/commands.hpp
+++ b/include/skylarkdyke/cli/commands.hpp
@@ -27,6 +27,12 @@
 /// the journals of emulated targets.
 int generateLoad(const arguments &Arguments);
 
+/// \brief Writes settings, configuration and proxy plan of an emulated
+/// deployment.
+int makeDeploymentFiles(const arguments &Arguments);
+/// \brief Runs the fault-injecting proxy until SIGTERM or SIGINT.
+int runFaultProxy(const arguments &Arguments);
+
 /// \brief Blocks SIGTERM and SIGINT in the calling thread and those it starts
 /// later, and ignores SIGPIPE.
 void blockStopSignals();
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -31,6 +31,11 @@
       {"emulate-targets",
        {&cli::emulateTargets, "IP:PORT...: stand-ins for targets"}},
       {"load", {&cli::generateLoad, "IP:PORT...: send load to entries"}},
+      {"fault-proxy",
+       {&cli::runFaultProxy, "PLAN.json IP:PORT: fault-injecting TCP proxy"}},
+      {"make-deployment",
+       {&cli::makeDeploymentFiles,
+        "DIRECTORY: write the files of an emulated deployment"}},
   };
   return Commands;
 }
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -22,7 +22,7 @@
         Prober([this](const targets::probe_result &Result) {
           Callers.reportProbe(Result);
         }),
-        CallerServer(Settings.CallerAddress, http::server_limits(),
+        CallerServer(Settings.CallerListen, http::server_limits(),
                      [this](const http::server_request &Request) {
                        return Callers.handle(Request);
                      }) {}
