Wait for a seat before serving and for loans before refusing

Cause: system tests showed requests refused with not-run although the region was far below its cap: an entry was ready before it held its seat's share, and a dispatcher whose demand grew was refused until a loan came. A new entry that did not know a key's owner yet had its incarnation sealed.

Ruled out: larger seat shares (they are C/N by construction) and refusing with Retry-After alone (a caller below the cap must not be refused).

Change: an entry becomes ready when it holds a seat and is connected to its seeds, or after 2 s; a request that holds a slot waits up to 400 ms for share; share that was taken is used within 20 ms or not at all, also after a pause.

--- a/include/skylarkdyke/http/client.hpp
+++ b/include/skylarkdyke/http/client.hpp
@@ -43,6 +43,8 @@
   std::size_t MaxAnswerBytes;
   /// Socket of the caller; its closing ends the exchange. -1: none.
   int CallerSocket = -1;
+  /// Nothing is sent after this instant.
+  base::boot_time SendBy = base::boot_time::max();
 };
 
 /// \brief Sets the source address of all connections that this process opens
--- a/src/callers/detail/forwarder.cpp
+++ b/src/callers/detail/forwarder.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <thread>
 
 namespace skylarkdyke::callers::detail {
 
@@ -16,6 +17,14 @@
 
 /// Longest wait for a connection to a target: 250 times what one takes on the
 /// deployments, and short enough to try another target.
+/// Longest wait for a share of the caps: a loan arrives within an exchange
+/// interval of 250 ms and a round trip of up to 55 ms. Only requests that hold
+/// a slot wait here, so their number is bounded.
+static constexpr std::chrono::milliseconds CapWait{400};
+/// Each try counts as demand when share is borrowed, so tries are kept few.
+static constexpr std::chrono::milliseconds CapRetryInterval{50};
+/// Time from taking share of the caps to sending.
+static constexpr std::chrono::milliseconds SendLimit{20};
 static constexpr std::chrono::milliseconds ConnectLimit{250};
 static constexpr unsigned DirectSlotsPerTarget = 1;
 
@@ -204,23 +213,42 @@
                   std::move(Outgoing));
 }
 
+std::optional<base::boot_time>
+forwarder::takeCaps(const request_context &Context,
+                    const std::vector<caps::demand> &Demands) {
+  const base::boot_time GiveUp =
+      std::min(Context.Deadline, base::boot_clock::now() + CapWait);
+  for (;;) {
+    const base::boot_time Now = base::boot_clock::now();
+    if (Dependencies.TryTakeCaps(Demands))
+      return Now;
+    if (Now + CapRetryInterval >= GiveUp)
+      return std::nullopt;
+    std::this_thread::sleep_for(CapRetryInterval);
+  }
+}
+
 forwarder::attempt forwarder::exchange(
     const request_context &Context, const config::target &Target,
     targets::connection_pool::lease &Connection,
     const std::vector<caps::demand> &Demands,
     const base::region_name &TargetRegion, http::request Outgoing) {
-  const base::boot_time SentAt = base::boot_clock::now();
-  if (!Dependencies.TryTakeCaps(Demands)) {
+  const auto TakenAt = takeCaps(Context, Demands);
+  if (!TakenAt) {
     Counters.add(counter::CapRefused);
     return {problem(problem_code::CapExhausted, outcome::NotRun,
                     "no share is left of the caps into region " +
                         TargetRegion.str())};
   }
+  const base::boot_time SentAt = *TakenAt;
   // The client reads the boot clock immediately before it sends and sends
-  // nothing after the deadline.
-  auto Response = Connection.exchange(
-      Outgoing, {Context.Deadline, Context.Settings->MaxAnswerBytes,
-                 Context.Source->Socket});
+  // nothing after either deadline, so units that were taken before a pause of
+  // the process are not used in a later window of the caps.
+  http::exchange_limits Limits{Context.Deadline,
+                               Context.Settings->MaxAnswerBytes,
+                               Context.Source->Socket};
+  Limits.SendBy = SentAt + SendLimit;
+  auto Response = Connection.exchange(Outgoing, Limits);
   Counters.add(counter::Attempts);
   if (Response) {
     giveBackAnswerBytes(Dependencies, Demands, TargetRegion,
--- a/src/callers/detail/forwarder.hpp
+++ b/src/callers/detail/forwarder.hpp
@@ -60,6 +60,11 @@
   chooseRegion(const request_context &Context, const snapshot &Snapshot);
   attempt tryOnce(const request_context &Context, const snapshot &Snapshot,
                   const region_queue &Place, const config::target &Target);
+  /// \brief Takes share of the caps, waiting for loans for a short time.
+  /// \return an instant not after the taking, or nothing if no share came
+  std::optional<base::boot_time>
+  takeCaps(const request_context &Context,
+           const std::vector<caps::demand> &Demands);
   attempt exchange(const request_context &Context, const config::target &Target,
                    targets::connection_pool::lease &Connection,
                    const std::vector<caps::demand> &Demands,
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -13,6 +13,7 @@
 #include "skylarkdyke/store/seat_claimer.hpp"
 #include "skylarkdyke/targets/prober.hpp"
 
+#include <algorithm>
 #include <thread>
 
 namespace skylarkdyke::entry {
@@ -22,9 +23,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds TickInterval = 100ms;
-/// Time after which an entry stops waiting for peers that do not answer, so
-/// that a dead peer does not keep it from becoming ready.
-constexpr std::chrono::seconds PeerWait = 2s;
+/// Time after which an entry stops waiting for its seat and for peers, so that
+/// neither a store outage nor a dead peer keeps it from becoming ready.
+constexpr std::chrono::seconds SettleTime = 2s;
 /// Longest time that a graceful stop waits for lookup answers to expire and for
 /// requests in flight.
 constexpr std::chrono::seconds MaxDrainTime = 60s;
@@ -48,6 +49,7 @@
 
   callers::dependencies callerDependencies();
   void tick();
+  bool hasSettled() const;
   void updateReadiness();
   void updateSeat();
   void updateTargets();
@@ -74,7 +76,7 @@
   http::server CallerServer;
   http::server AdminServer;
   detail::control_loop Control;
-  base::boot_time StopWaitingForPeers;
+  base::boot_time StopWaiting;
   std::shared_ptr<const config::document> Applied;
   bool IsReady = false;
 };
@@ -150,12 +152,31 @@
   return Functions;
 }
 
+/// Whether everything that an entry waits for before it serves callers is
+/// there, or has had its time.
+bool entry::impl::hasSettled() const {
+  if (base::boot_clock::now() >= StopWaiting)
+    return true;
+  // Without a share of the caps the first requests would be refused.
+  if (!Seat.authority())
+    return false;
+  // The store's answer alone may be stale, and a key of a member that is not
+  // known yet would be taken for one of an entry that is gone.
+  const auto Members = Mesh.members();
+  const auto Reachable =
+      std::count_if(Members.begin(), Members.end(),
+                    [](const auto &Each) { return Each.Reachable; });
+  const auto Others =
+      std::count_if(Settings.Seeds.begin(), Settings.Seeds.end(),
+                    [this](const base::endpoint &Seed) {
+                      return !(Seed == Settings.PeerAddress);
+                    });
+  return Reachable >= Others;
+}
+
 void entry::impl::updateReadiness() {
   const auto Document = Config.current();
-  // A store answer alone may be stale; peers may hold a newer version.
-  const bool PeersAsked = Mesh.untriedAddresses() == 0 ||
-                          base::boot_clock::now() >= StopWaitingForPeers;
-  if (!IsReady && Document && PeersAsked) {
+  if (!IsReady && Document && hasSettled()) {
     IsReady = true;
     SKYLARKDYKE_LOG(INFO, EntryReady)
         << Settings.Name.str() << " with version " << Document->Version;
@@ -246,7 +267,7 @@
 entry::~entry() = default;
 
 bool entry::start() {
-  Impl->StopWaitingForPeers = base::boot_clock::now() + PeerWait;
+  Impl->StopWaiting = base::boot_clock::now() + SettleTime;
   if (!Impl->startServers())
     return false;
   Impl->Watcher.start();
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,5 +1,6 @@
 #include "skylarkdyke/http/client.hpp"
 
+#include <algorithm>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -197,7 +198,7 @@
     Conn.Reusable = false;
     return exchange_error{exchange_fault::ClosedWithoutAnswer, true};
   }
-  if (Limits.Deadline <= base::boot_clock::now())
+  if (std::min(Limits.Deadline, Limits.SendBy) <= base::boot_clock::now())
     return exchange_error{exchange_fault::DeadlinePassed, true};
   Conn.Reusable = false;
   bool Done = false;
--- a/tests/support/background_load.cpp
+++ b/tests/support/background_load.cpp
@@ -37,6 +37,8 @@
 
 static void note(told &Told, const answer &Answer) {
   Told.Outcomes.push_back(Answer.Outcome);
+  if (Answer.Outcome != "completed")
+    Told.Refusal = Answer.Body;
   if (Answer.Outcome == "completed" && Answer.Status == 200 &&
       !belongsTo(Answer, Told))
     Told.WrongAnswer = true;
@@ -108,6 +110,15 @@
   return {};
 }
 
+std::string firstNotCompleted(const std::vector<told> &Told) {
+  for (const told &Each : Told)
+    if (Each.Outcomes.empty() || Each.Outcomes.back() != "completed")
+      return Each.Path + ": " +
+             (Each.Outcomes.empty() ? "no key" : Each.Outcomes.back()) + " " +
+             Each.Refusal;
+  return {};
+}
+
 std::vector<std::string> findViolations(const cluster &Cluster,
                                         const std::vector<told> &Told) {
   const auto Runs = Cluster.runsByKey();
--- a/tests/support/background_load.hpp
+++ b/tests/support/background_load.hpp
@@ -17,6 +17,8 @@
   bool IsOrder = false;
   /// Outcomes in the order of the tries with the same key.
   std::vector<std::string> Outcomes;
+  /// Body of the last answer that was not completed.
+  std::string Refusal;
   /// True if an answer with outcome "completed" belonged to another request.
   bool WrongAnswer = false;
   skylarkdyke::base::wall_time SentAt;
@@ -69,6 +71,10 @@
 std::vector<std::string> findViolations(const cluster &Cluster,
                                         const std::vector<told> &Told);
 
+/// \brief Describes the first request whose last outcome was not "completed";
+/// empty if there is none.
+std::string firstNotCompleted(const std::vector<told> &Told);
+
 /// \brief Largest number of runs that began within any window of the given
 /// length.
 std::size_t largestWindow(std::vector<skylarkdyke::base::wall_time> Starts,
--- a/tests/system-caps.cpp
+++ b/tests/system-caps.cpp
@@ -48,7 +48,9 @@
   test_support::load_shape Shape;
   Shape.Services = {"stock-view", "order-archive", "quote-desk",
                     "drop-confirm"};
-  Shape.Threads = 32;
+  // A request that finds no share waits for a loan, so it takes many callers to
+  // ask for more than the caps.
+  Shape.Threads = 96;
   Shape.Pause = 10ms;
   return Shape;
 }
@@ -67,7 +69,7 @@
       std::count_if(Told.begin(), Told.end(), [](const auto &Each) {
         return Each.Outcomes.back() == "completed";
       });
-  CHECK_TRUE(Told.size() > 6 * 3 * LowCap);
+  CHECK_TRUE(Told.size() > std::size_t{6} * 3 * LowCap);
   CHECK_TRUE(Completed > 500);
 }
 
--- a/tests/system-leaving.cpp
+++ b/tests/system-leaving.cpp
@@ -55,8 +55,7 @@
   const auto Told = Load.stop();
   CHECK_FALSE(ranAfter(Cluster, "stock-view-1", Accepted + LeaveLimit));
   CHECK_TRUE(ranAfter(Cluster, "stock-view-2", Accepted + LeaveLimit));
-  for (const auto &Each : Told)
-    STRCMP_EQUAL("completed", Each.Outcomes.back().c_str());
+  STRCMP_EQUAL("", test_support::firstNotCompleted(Told).c_str());
 }
 
 // Guards against a drain of a failure domain that moves faster than its cap or
@@ -80,6 +79,5 @@
   for (const auto &Target : Cluster.Plan.Targets)
     if (Target.Domain == "mazowsze-a")
       CHECK_FALSE(ranAfter(Cluster, Target.Id, Start + 4s + LeaveLimit));
-  for (const auto &Each : Told)
-    STRCMP_EQUAL("completed", Each.Outcomes.back().c_str());
+  STRCMP_EQUAL("", test_support::firstNotCompleted(Told).c_str());
 }
--- a/tests/system-once.cpp
+++ b/tests/system-once.cpp
@@ -35,7 +35,8 @@
     for (std::thread &Caller : Callers)
       Caller.join();
     for (const auto &Answer : Answers)
-      STRCMP_EQUAL("completed", Answer.Outcome.c_str());
+      STRCMP_EQUAL("completed", Answer.Status == 200 ? Answer.Outcome.c_str()
+                                                     : Answer.Body.c_str());
   }
   const auto Runs = Cluster.runsByKey();
   CHECK_EQUAL(20u, Runs.size());
--- a/tests/system-path.cpp
+++ b/tests/system-path.cpp
@@ -82,7 +82,8 @@
   CHECK_TRUE(Exit.has_value());
   CHECK_EQUAL(0, *Exit);
   for (const auto &Answer : Slow)
-    STRCMP_EQUAL("completed", Answer.Outcome.c_str());
+    STRCMP_EQUAL("completed", Answer.Status == 200 ? Answer.Outcome.c_str()
+                                                   : Answer.Body.c_str());
   const auto Told = Load.stop();
   for (const auto &Each : Told)
     STRCMP_EQUAL("completed",
