--- a/src/cli/command_emulators.cpp
+++ b/src/cli/command_emulators.cpp
@@ -6,10 +6,10 @@
 #include <iostream>
 
 DEFINE_string(control, "",
-              "emulate-store: address of the fault controls, none if empty");
+              "emulate-store: IP:PORT for the faults; emulate-targets: IP:PORT "
+              "for the journal and the behaviour; none if empty");
 DEFINE_uint32(instance_lag_ms, 0,
               "emulate-store: time until a change of the instance list shows");
-DEFINE_uint64(seed, 1, "emulate-store: seed of the random faults");
 DEFINE_uint32(slots, 4, "emulate-targets: slots of each target");
 DEFINE_uint32(work_us, 5000,
               "emulate-targets: time that a request holds its slot, in us");
@@ -27,9 +27,8 @@
     "in ms");
 DEFINE_string(target_service, "",
               "emulate-targets: name of the service in the journal");
-DEFINE_string(control, "",
-              "emulate-targets: IP:PORT for the journal and the behaviour");
-DEFINE_uint64(seed, 1, "emulate-targets and load: seed of random numbers");
+DEFINE_uint64(
+    seed, 1, "emulate-store, emulate-targets and load: seed of random numbers");
 
 namespace skylarkdyke::cli {
 
