--- a/include/skylarkdyke/base/event.hpp
+++ b/include/skylarkdyke/base/event.hpp
@@ -31,6 +31,16 @@
   SeatReleaseConfirmed = 306,
   PlatformUnavailable = 310,
   PlatformAvailable = 311,
+  // 600: operators
+  OperatorDenied = 600,
+  ChangeAccepted = 601,
+  ChangeRefused = 602,
+  ChangeConflict = 603,
+  ChangeUnknown = 604,
+  ChangeUnavailable = 605,
+  BlockReleased = 606,
+  SeatConfirmed = 607,
+  FormRejected = 608,
 };
 
 /// \brief The number of an event as it stands in the log.
--- a/include/skylarkdyke/cli/commands.hpp
+++ b/include/skylarkdyke/cli/commands.hpp
@@ -32,6 +32,15 @@
 /// \brief Runs the fault-injecting proxy until SIGTERM or SIGINT.
 int runFaultProxy(const arguments &Arguments);
 
+/// \brief Prints the status of a deployment as one entry sees it.
+int printStatus(const arguments &Arguments);
+/// \brief Formats the body of GET /admin/v1/status as tables.
+/// \return an empty text if the body is not a status
+std::string formatStatus(const std::string &Body);
+/// \brief Reads a token from standard input and prints its SHA-256, for the
+/// settings.
+int printTokenHash(const arguments &Arguments);
+
 /// \brief Blocks SIGTERM and SIGINT in the calling thread and those it starts
 /// later, and ignores SIGPIPE.
 void blockStopSignals();
--- a/include/skylarkdyke/settings/settings.hpp
+++ b/include/skylarkdyke/settings/settings.hpp
@@ -12,6 +12,13 @@
 
 namespace skylarkdyke::settings {
 
+/// \brief An operator who may use the administration port.
+struct operator_settings {
+  base::operator_name Name;
+  /// SHA-256 of the token as 64 lower-case hexadecimal digits.
+  std::string TokenSha256;
+};
+
 /// \brief Settings of one entry process.
 struct entry_settings {
   base::entry_name Name;
@@ -30,6 +37,8 @@
   base::endpoint Store;
   /// Peer addresses of other entries, for a start without the platform's list.
   std::vector<base::endpoint> Seeds;
+  /// Without any operator the administration port refuses everything.
+  std::vector<operator_settings> Operators;
 };
 
 /// \brief Parses and checks the TOML settings of an entry.
--- a/src/cli/command_config.cpp
+++ b/src/cli/command_config.cpp
@@ -10,7 +10,7 @@
 #include <sstream>
 
 DEFINE_string(store, "", "config: address of the store");
-DEFINE_string(operator, "", "config submit: name of the operator");
+DEFINE_string(operator, "", "config submit and status: name of the operator");
 DEFINE_uint64(expect, std::numeric_limits<std::uint64_t>::max(),
               "config submit: version that was edited, 0 for the first one");
 DEFINE_uint32(timeout_ms, 5000, "config: time to wait for the store");
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -27,6 +27,13 @@
       {"check", {&cli::checkSettings, "SETTINGS.toml: check a settings file"}},
       {"config",
        {&cli::manageConfig, "show|check FILE|submit FILE: configuration"}},
+      {"status",
+       {&cli::printStatus,
+        "--admin=IP:PORT --operator=NAME: print entries, headroom and "
+        "drains"}},
+      {"token-hash",
+       {&cli::printTokenHash,
+        ": read a token and print its SHA-256 for the settings"}},
       {"version", {&printVersion, ": print the version"}},
       {"emulate-store",
        {&cli::emulateStore, "IP:PORT: stand-in for the store"}},
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,5 +1,6 @@
 #include "skylarkdyke/settings/settings.hpp"
 
+#include <cctype>
 #include <set>
 #include <toml++/toml.h>
 
@@ -10,8 +11,11 @@
 /// Reads keys of the root table and collects findings with file and line.
 class table_reader {
 public:
-  table_reader(const toml::table &Table, std::string FileName)
-      : Table(Table), FileName(std::move(FileName)) {}
+  /// \param Prefix stands before the keys in the places of findings
+  table_reader(const toml::table &Table, std::string FileName,
+               std::string Prefix = "")
+      : Table(Table), FileName(std::move(FileName)), Prefix(std::move(Prefix)) {
+  }
 
   std::string text(std::string_view Key) {
     const toml::node *Node = find(Key, true);
@@ -62,6 +66,26 @@
     return Endpoints;
   }
 
+  std::vector<operator_settings> operators(std::string_view Key) {
+    std::vector<operator_settings> Operators;
+    const toml::node *Node = find(Key, false);
+    if (Node == nullptr)
+      return Operators;
+    const toml::array *List = Node->as_array();
+    if (List == nullptr || !List->is_homogeneous(toml::node_type::table)) {
+      report(Node, Key, "must be given as [[operators]] tables");
+      return Operators;
+    }
+    std::set<std::string> Names;
+    for (const toml::node &Item : *List) {
+      table_reader Reader(*Item.as_table(), FileName, std::string(Key) + ".");
+      Operators.push_back(Reader.oneOperator(Names));
+      Findings.insert(Findings.end(), Reader.Findings.begin(),
+                      Reader.Findings.end());
+    }
+    return Operators;
+  }
+
   /// Reports every key that no call above has asked for.
   void finish() {
     for (const auto &[Key, Node] : Table)
@@ -72,24 +96,62 @@
   base::findings Findings;
 
 private:
+  operator_settings oneOperator(std::set<std::string> &Names) {
+    operator_settings Operator;
+    Operator.Name = base::operator_name(text("name"));
+    const std::size_t Before = Findings.size();
+    Operator.TokenSha256 = text("token_sha256");
+    std::string &Hash = Operator.TokenSha256;
+    if (Findings.size() == Before &&
+        (Hash.size() != 64 ||
+         Hash.find_first_not_of("0123456789abcdefABCDEF") != std::string::npos))
+      report(Table.get("token_sha256"), "token_sha256",
+             "must have 64 hexadecimal digits, as `skylarkdyke token-hash` "
+             "prints them");
+    for (char &Digit : Hash)
+      Digit =
+          static_cast<char>(std::tolower(static_cast<unsigned char>(Digit)));
+    if (!Operator.Name.empty() && !isOperatorName(Operator.Name.str()))
+      report(Table.get("name"), "name",
+             "must have 1 to 64 letters, digits, '-', '_' or '.'");
+    if (!Operator.Name.empty() && !Names.insert(Operator.Name.str()).second)
+      report(Table.get("name"), "name",
+             "'" + Operator.Name.str() + "' is already used");
+    finish();
+    return Operator;
+  }
+
+  /// The characters that a document accepts in `submitted_by`.
+  static bool isOperatorName(const std::string &Text) {
+    return Text.size() <= 64 &&
+           Text.find_first_not_of("abcdefghijklmnopqrstuvwxyz"
+                                  "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                  "0123456789-_.") == std::string::npos;
+  }
+
   const toml::node *find(std::string_view Key, bool Required) {
     Known.insert(std::string(Key));
     const toml::node *Node = Table.get(Key);
     if (Node == nullptr && Required)
-      Findings.push_back({FileName + ": " + std::string(Key), "is missing"});
+      Findings.push_back(
+          {place(Prefix.empty() ? nullptr : &Table, Key), "is missing"});
     return Node;
   }
 
   void report(const toml::node *Node, std::string_view Key,
               std::string Reason) {
-    Findings.push_back({FileName + ":" +
-                            std::to_string(Node->source().begin.line) + ": " +
-                            std::string(Key),
-                        std::move(Reason)});
+    Findings.push_back({place(Node, Key), std::move(Reason)});
+  }
+
+  std::string place(const toml::node *Node, std::string_view Key) const {
+    const std::string Line =
+        Node == nullptr ? "" : ":" + std::to_string(Node->source().begin.line);
+    return FileName + Line + ": " + Prefix + std::string(Key);
   }
 
   const toml::table &Table;
   std::string FileName;
+  std::string Prefix;
   std::set<std::string> Known;
 };
 
@@ -126,6 +188,7 @@
   Settings.PeerListen = Reader.endpointOr("peer_listen", Settings.PeerAddress);
   Settings.Store = Reader.endpoint("store");
   Settings.Seeds = Reader.endpoints("seeds");
+  Settings.Operators = Reader.operators("operators");
   Reader.finish();
   if (!Reader.Findings.empty())
     return Reader.Findings;
