--- a/include/skylarkdyke/base/event.hpp
+++ b/include/skylarkdyke/base/event.hpp
@@ -53,6 +53,16 @@
   AnswerOfOtherRequest = 502,
   IncarnationSealed = 503,
   OwnerSealed = 504,
+  // 600: operators
+  OperatorDenied = 600,
+  ChangeAccepted = 601,
+  ChangeRefused = 602,
+  ChangeConflict = 603,
+  ChangeUnknown = 604,
+  ChangeUnavailable = 605,
+  BlockReleased = 606,
+  SeatConfirmed = 607,
+  FormRejected = 608,
 };
 
 /// \brief The number of an event as it stands in the log.
