Wire the operators' port into the entry

Cause: the console and the administration API had no entry behind them.

Change: the entry gives them its document, members, caps, seats, blocked requests and the load of all entries, which heartbeats now carry per service and second. Requests left at a target come from its own report. The port needs a login; emulated deployments have the operator demo with the token demo.

Not shown: link load in the preview is zero, because heartbeats carry no bytes.

--- a/include/skylarkdyke/entries/message.hpp
+++ b/include/skylarkdyke/entries/message.hpp
@@ -32,6 +32,7 @@
   base::service_name Service;
   std::uint32_t InFlight = 0;
   std::uint32_t Queued = 0;
+  std::uint32_t RequestsPerSecond = 0;
 };
 
 /// \brief Periodic sign of life.
--- a/include/skylarkdyke/store/config_watcher.hpp
+++ b/include/skylarkdyke/store/config_watcher.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace skylarkdyke::store {
 
@@ -51,6 +52,9 @@
   /// document or without one.
   bool hasAnswer() const;
 
+  /// \brief When the store stopped answering; nothing while it answers.
+  std::optional<base::wall_time> downSince() const;
+
   watch_counts counts() const;
 
 private:
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -6,6 +6,7 @@
 failure domain. Exits with 1 if a request was lost, doubled or wrong.
 """
 import argparse
+import base64
 import json
 import pathlib
 import signal
@@ -19,8 +20,11 @@
 WARM_UP_SECONDS = 2
 
 
+LOGIN = "Basic " + base64.b64encode(b"demo:demo").decode()
+
+
 def call(method, url, body=None, timeout=5):
-    request = urllib.request.Request(url, method=method, data=body)
+    request = urllib.request.Request(url, method=method, data=body, headers={"Authorization": LOGIN})
     with urllib.request.urlopen(request, timeout=timeout) as response:
         return response.read().decode()
 
@@ -208,7 +212,7 @@
             print(f"\ndrain of {domain}: empty {drain_time(deployment, domain, accepted):.1f} s after the request")
             print(f"load processes that found a lost, doubled or wrong request: {faults}")
             if options.keep:
-                print(f"console: http://{deployment.plan['entries'][0]['admin_address']}/console/ (Ctrl-C stops)")
+                print(f"console: http://{deployment.plan['entries'][0]['admin_address']}/console/ operator demo, token demo (Ctrl-C stops)")
                 signal.pause()
         except KeyboardInterrupt:
             faults = 0
--- a/src/emulators/deployment.cpp
+++ b/src/emulators/deployment.cpp
@@ -143,6 +143,13 @@
   }
 }
 
+/// Operator "demo" with the token "demo", for emulated deployments only.
+static constexpr const char *OperatorTable =
+    "[[operators]]\n"
+    "name = \"demo\"\n"
+    "token_sha256 = "
+    "\"2a97516c354b68848cdbd8f54a226a0a55b21ed138e207ad6c5cbb9c00aa5aea\"\n";
+
 static std::string settingsText(const entry_plan &Entry,
                                 const base::endpoint &Store,
                                 const std::vector<base::endpoint> &Seeds) {
@@ -161,7 +168,8 @@
          Line("admin_address", base::toString(Entry.AdminAddress)) +
          Line("peer_address", base::toString(Entry.PeerAddress)) +
          Line("peer_listen", base::toString(behindProxy(Entry.PeerAddress))) +
-         Line("store", base::toString(Store)) + "seeds = [" + SeedList + "]\n";
+         Line("store", base::toString(Store)) + "seeds = [" + SeedList + "]\n" +
+         OperatorTable;
 }
 
 static void addEntries(const profile &Profile, const address_plan &Addresses,
--- a/src/entries/codec.cpp
+++ b/src/entries/codec.cpp
@@ -209,7 +209,8 @@
   for (const service_load &Load : Heartbeat.Loads)
     Loads.push_back({{"service", Load.Service.str()},
                      {"in_flight", Load.InFlight},
-                     {"queued", Load.Queued}});
+                     {"queued", Load.Queued},
+                     {"requests_per_second", Load.RequestsPerSecond}});
   json Members = json::array();
   for (const base::endpoint &Address : Heartbeat.Members)
     Members.push_back(base::toString(Address));
@@ -227,7 +228,9 @@
     Heartbeat.Loads.push_back(
         {Load.name<base::service_name>("service"),
          static_cast<std::uint32_t>(Load.whole("in_flight", 0, Max32)),
-         static_cast<std::uint32_t>(Load.whole("queued", 0, Max32))});
+         static_cast<std::uint32_t>(Load.whole("queued", 0, Max32)),
+         static_cast<std::uint32_t>(
+             Load.whole("requests_per_second", 0, Max32))});
   }
   for (const json &Each : Map.list("members"))
     Heartbeat.Members.push_back(fields::checkedAddress(Each, "members"));
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/detail/control_loop.hpp"
 #include "entry/detail/identity.hpp"
+#include "entry/detail/load_board.hpp"
 #include "entry/detail/metrics_page.hpp"
 #include "skylarkdyke/base/event.hpp"
 #include "skylarkdyke/callers/caller_service.hpp"
@@ -9,7 +10,10 @@
 #include "skylarkdyke/entries/crash_exchange.hpp"
 #include "skylarkdyke/entries/loan_exchange.hpp"
 #include "skylarkdyke/entries/witness_service.hpp"
+#include "skylarkdyke/operators/admin_service.hpp"
+#include "skylarkdyke/store/config_store.hpp"
 #include "skylarkdyke/store/config_watcher.hpp"
+#include "skylarkdyke/store/seat_admin.hpp"
 #include "skylarkdyke/store/seat_claimer.hpp"
 #include "skylarkdyke/targets/prober.hpp"
 
@@ -30,6 +34,8 @@
 /// requests in flight.
 constexpr std::chrono::seconds MaxDrainTime = 60s;
 constexpr std::size_t MaxWitnessRecords = 200'000;
+/// Longest time that an operator's page waits for the store.
+constexpr std::chrono::seconds StoreLimit = 5s;
 
 entries::mesh_settings meshSettings(const settings::entry_settings &Settings,
                                     const entries::member &Self) {
@@ -53,7 +59,10 @@
   void updateReadiness();
   void updateSeat();
   void updateTargets();
-  http::response administer(const http::server_request &Request);
+  operators::dependencies operatorDependencies();
+  std::vector<caps::cap_state> capStates();
+  std::vector<operators::seat_status> seats();
+  void installed(const std::shared_ptr<const config::document> &Document);
   bool startServers();
   void drain();
   void releaseSeat();
@@ -62,18 +71,21 @@
   detail::identity Identity;
   config::holder Config;
   store::client Store;
+  store::config_store Documents;
   entries::guarded_ledger Shares;
   entries::mesh Mesh;
   entries::config_exchange Configs;
-  entries::loan_exchange Loans;
+  entries::loan_exchange Lending;
   entries::witness_service Witness;
   detail::metrics_page Metrics;
+  detail::load_board Loads;
   callers::caller_service Callers;
   entries::crash_exchange Crashes;
   store::config_watcher Watcher;
   store::seat_claimer Seat;
   targets::prober Prober;
   http::server CallerServer;
+  operators::admin_service Admin;
   http::server AdminServer;
   detail::control_loop Control;
   base::boot_time StopWaiting;
@@ -83,33 +95,43 @@
 
 entry::impl::impl(settings::entry_settings Given)
     : Settings(std::move(Given)), Identity(Settings), Store(Settings.Store),
-      Shares(Identity.current().Incarnation),
+      Documents(Store), Shares(Identity.current().Incarnation),
       Mesh(meshSettings(Settings, Identity.current())),
-      Configs(Mesh, Config, [this](const auto &) { Control.wake(); }),
-      Loans(Mesh, Shares), Witness(Mesh, MaxWitnessRecords),
+      Configs(Mesh, Config,
+              [this](const auto &Document) { installed(Document); }),
+      Lending(Mesh, Shares), Witness(Mesh, MaxWitnessRecords),
       Callers(Settings, callerDependencies(),
               [this](const base::service_name &Service,
                      std::chrono::nanoseconds Latency, once::outcome Outcome) {
                 Metrics.observe(Service, Latency, Outcome);
+                Loads.countRequest(Service);
               }),
       Crashes(Mesh,
               [this](const poison::crash_report &Report) {
                 Callers.addCrash(Report);
               }),
-      Watcher(Store, Config, [this](const auto &) { Control.wake(); }),
+      Watcher(Store, Config,
+              [this](const auto &Document) { installed(Document); }),
       Seat(Store, {}, Identity.current().Incarnation, Settings.Name),
       Prober([this](const targets::probe_result &Result) {
         Callers.reportProbe(Result);
+        Loads.setTarget(Result);
       }),
       CallerServer(Settings.CallerListen, http::server_limits(),
                    [this](const http::server_request &Request) {
                      return Callers.handle(Request);
                    }),
-      AdminServer(Settings.AdminAddress, http::server_limits(),
+      Admin(operatorDependencies(), Settings.Operators),
+      AdminServer(Settings.AdminAddress, operators::adminServerLimits(),
                   [this](const http::server_request &Request) {
-                    return administer(Request);
+                    return Admin.handle(Request);
                   }),
-      Control(TickInterval, [this] { tick(); }) {}
+      Control(TickInterval, [this] { tick(); }) {
+  Mesh.onMessage<entries::heartbeat>(
+      [this](const entries::member &From, const entries::heartbeat &Heartbeat) {
+        Loads.setPeer(From, Heartbeat.Loads, base::boot_clock::now());
+      });
+}
 
 entry::impl::~impl() {
   Control.stop();
@@ -120,6 +142,13 @@
   Mesh.stop();
 }
 
+void entry::impl::installed(
+    const std::shared_ptr<const config::document> &Document) {
+  // A later conflict can then name the fields that changed since.
+  Documents.remember(Document);
+  Control.wake();
+}
+
 callers::dependencies entry::impl::callerDependencies() {
   callers::dependencies Functions;
   Functions.Document = [this] { return Config.current(); };
@@ -212,28 +241,61 @@
   updateSeat();
   updateReadiness();
   Callers.refresh();
-  std::vector<entries::service_load> Loads;
-  for (const callers::service_load &Load : Callers.loads())
-    if (Load.Region == Settings.Region)
-      Loads.push_back({Load.Service, Load.SlotsInUse,
-                       static_cast<std::uint32_t>(Load.Waiting)});
-  Mesh.setLoads(std::move(Loads));
+  Mesh.setLoads(Loads.ownLoads(Callers.loads(), Settings.Region,
+                               base::boot_clock::now()));
 }
 
-http::response entry::impl::administer(const http::server_request &Request) {
-  http::response Response;
-  if (Request.Path != "/metrics" || Request.Message.Method != "GET") {
-    Response.Status = 404;
-    return Response;
-  }
-  Response.Headers["Content-Type"] = "text/plain; version=0.0.4";
-  std::vector<caps::cap_state> States;
-  {
-    const std::lock_guard<std::mutex> Lock(Shares.Mutex);
-    States = Shares.Ledger.states(base::boot_clock::now());
-  }
-  Response.Body = Metrics.render(Callers, Store, Mesh, States);
-  return Response;
+std::vector<caps::cap_state> entry::impl::capStates() {
+  const std::lock_guard<std::mutex> Lock(Shares.Mutex);
+  return Shares.Ledger.states(base::boot_clock::now());
+}
+
+std::vector<operators::seat_status> entry::impl::seats() {
+  std::vector<operators::seat_status> Result;
+  const auto Document = Config.current();
+  const base::boot_time Deadline = base::boot_clock::now() + StoreLimit;
+  for (unsigned Index = 0; Document && Index < Document->EntrySeats; ++Index)
+    Result.push_back({Index, store::readSeat(Store, Index, Deadline)});
+  return Result;
+}
+
+operators::dependencies entry::impl::operatorDependencies() {
+  operators::dependencies Functions;
+  Functions.Document = [this] { return Config.current(); };
+  Functions.Submit = [this](const config::document &Change,
+                            std::uint64_t ExpectedVersion,
+                            const base::operator_name &Operator) {
+    return Documents.submit(Change, ExpectedVersion, Operator,
+                            base::boot_clock::now() + StoreLimit);
+  };
+  Functions.StoreDownSince = [this] { return Watcher.downSince(); };
+  Functions.Members = [this] {
+    std::vector<entries::member> All = Mesh.members();
+    All.insert(All.begin(), Identity.current());
+    return All;
+  };
+  Functions.Loads = [this] {
+    return Loads.all(Settings.Region, base::boot_clock::now());
+  };
+  Functions.CapStates = [this] { return capStates(); };
+  Functions.SlotsInUse = [this] { return Loads.slotsInUse(); };
+  Functions.Metrics = [this] {
+    return Metrics.render(Callers, Store, Mesh, capStates());
+  };
+  Functions.Blocked = [this] { return Callers.blockedRequests(); };
+  Functions.Release = [this](std::uint64_t Fingerprint) {
+    return Callers.releaseBlocked(Fingerprint);
+  };
+  Functions.Seats = [this] { return seats(); };
+  Functions.ConfirmDestroyed = [this](unsigned Index,
+                                      base::incarnation_id Holder,
+                                      const base::operator_name &Operator) {
+    return store::confirmDestroyed(Store, Index, Holder, Operator,
+                                   base::boot_clock::now() + StoreLimit);
+  };
+  Functions.WallNow = [] { return std::chrono::system_clock::now(); };
+  Functions.BootNow = [] { return base::boot_clock::now(); };
+  return Functions;
 }
 
 bool entry::impl::startServers() {
--- a/src/store/config_watcher.cpp
+++ b/src/store/config_watcher.cpp
@@ -39,7 +39,8 @@
   config::holder &Config;
   installed_hook OnInstalled;
   std::uint64_t Index = 0;
-  bool Available = true;
+  /// Guarded by Mutex.
+  std::optional<base::wall_time> DownSince;
   detail::backoff Backoff{FirstPause, MaxPause};
   http::stop_source Stop;
   std::mutex Mutex;
@@ -96,10 +97,16 @@
 }
 
 void config_watcher::impl::noteAvailability(const unavailable *Failure) {
-  if ((Failure == nullptr) == Available)
-    return;
-  Available = Failure == nullptr;
-  if (Available)
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    if ((Failure == nullptr) == !DownSince)
+      return;
+    if (Failure != nullptr)
+      DownSince = std::chrono::system_clock::now();
+    else
+      DownSince.reset();
+  }
+  if (Failure == nullptr)
     SKYLARKDYKE_LOG(INFO, StoreAvailable) << "configuration watch resumed";
   else
     SKYLARKDYKE_LOG(WARNING, StoreUnavailable) << Failure->Reason;
@@ -162,6 +169,11 @@
 
 bool config_watcher::hasAnswer() const { return Impl->HasAnswer; }
 
+std::optional<base::wall_time> config_watcher::downSince() const {
+  const std::lock_guard<std::mutex> Lock(Impl->Mutex);
+  return Impl->DownSince;
+}
+
 watch_counts config_watcher::counts() const {
   return {Impl->Installed, Impl->Stale, Impl->Invalid, Impl->Conflicting,
           Impl->Failed};
--- a/tests/unit-base-events.cpp
+++ b/tests/unit-base-events.cpp
@@ -1,9 +1,11 @@
-#include <CppUTest/TestHarness.h>
 #include <fstream>
 #include <map>
 #include <regex>
 #include <sstream>
 
+// The leak detector of CppUTest makes "new" a macro, so it comes last.
+#include <CppUTest/TestHarness.h>
+
 TEST_GROUP(base_events){};
 
 static std::map<std::string, std::string>
--- a/tests/unit-entries-codec.cpp
+++ b/tests/unit-entries-codec.cpp
@@ -130,7 +130,8 @@
                   Self.Ready, Self.Leaving, Value.Seat);
 }
 auto parts(const service_load &Value) {
-  return std::tie(Value.Service, Value.InFlight, Value.Queued);
+  return std::tie(Value.Service, Value.InFlight, Value.Queued,
+                  Value.RequestsPerSecond);
 }
 auto parts(const heartbeat &Value) {
   return std::tie(Value.Sequence, Value.ConfigVersion, Value.Leaving,
