--- a/include/skylarkdyke/entries/witness_service.hpp
+++ b/include/skylarkdyke/entries/witness_service.hpp
@@ -31,9 +31,6 @@
   witness_service(mesh &Mesh, std::size_t MaxRecords);
   ~witness_service();
 
-  /// \brief The witness that a key issued now should name, or nothing.
-  std::optional<base::incarnation_id> witness();
-
   /// \brief Asks the witness of a key to record the intent. Blocks; not on the
   /// mesh thread.
   /// \return its answer, or nothing if there was none by the deadline
--- a/src/callers/detail/lookup.cpp
+++ b/src/callers/detail/lookup.cpp
@@ -1,6 +1,7 @@
 #include "callers/detail/lookup.hpp"
 
 #include "skylarkdyke/config/codec.hpp"
+#include "skylarkdyke/entries/witness_service.hpp"
 #include "skylarkdyke/once/key.hpp"
 
 #include <algorithm>
@@ -15,30 +16,16 @@
 /// sends a request just before, and repeats it after a lost answer.
 static constexpr std::chrono::seconds KeyUseAfterLookup{30};
 
-base::incarnation_id chooseWitness(const snapshot &Snapshot) {
-  const entries::member &Self = Snapshot.Self;
-  const entries::member *Best = nullptr;
-  // Names after the own one come first, so that the entries of a region do not
-  // all have the same witness.
-  const auto Rank = [&Self](const entries::member &Member) {
-    return std::make_pair(!(Self.Name < Member.Name), Member.Name);
-  };
-  for (const entries::member &Member : Snapshot.Members)
-    if (Member.Region == Self.Region && Member.Domain != Self.Domain &&
-        Member.Ready && Member.Reachable && !Member.Leaving &&
-        (Best == nullptr || Rank(Member) < Rank(*Best)))
-      Best = &Member;
-  return Best == nullptr ? base::incarnation_id{} : Best->Incarnation;
-}
-
 static std::string ownPrefix(const snapshot &Snapshot,
                              base::wall_time LookupExpiry) {
   const auto Expiry =
       std::chrono::floor<std::chrono::seconds>(std::min<base::wall_time>(
           LookupExpiry + KeyUseAfterLookup,
           std::chrono::system_clock::now() + once::MaxKeyLifetime));
-  return once::toString(
-      {Snapshot.Self.Incarnation, Expiry, chooseWitness(Snapshot)});
+  const auto Witness =
+      entries::chooseWitness(Snapshot.Self, Snapshot.Members, {});
+  return once::toString({Snapshot.Self.Incarnation, Expiry,
+                         Witness.value_or(base::incarnation_id())});
 }
 
 /// The region of the client that the request names or comes from. Nothing if
--- a/src/callers/detail/lookup.hpp
+++ b/src/callers/detail/lookup.hpp
@@ -22,11 +22,6 @@
 lookup_answer lookUp(const http::server_request &Request,
                      const snapshot &Snapshot);
 
-/// \brief The entry that records the intents of this one: the first in the
-/// order of names after its own, of the entries in other failure domains of its
-/// region that take new work. \return its incarnation, or zero if there is none
-base::incarnation_id chooseWitness(const snapshot &Snapshot);
-
 } // namespace skylarkdyke::callers::detail
 
 #endif
--- a/src/entries/witness_service.cpp
+++ b/src/entries/witness_service.cpp
@@ -60,7 +60,6 @@
   /// Incarnation that the table answers for.
   base::incarnation_id Self;
   std::optional<once::witness_table> Table;
-  base::incarnation_id Chosen;
 };
 
 /// Starts an empty table when this entry took a new incarnation. Keys that name
@@ -120,15 +119,6 @@
 
 witness_service::~witness_service() = default;
 
-std::optional<base::incarnation_id> witness_service::witness() {
-  const member Self = Impl->Mesh.self();
-  const std::vector<member> Members = Impl->Mesh.members();
-  const std::lock_guard<std::mutex> Lock(Impl->Mutex);
-  const auto Choice = chooseWitness(Self, Members, Impl->Chosen);
-  Impl->Chosen = Choice.value_or(base::incarnation_id());
-  return Choice;
-}
-
 std::optional<once::record_result>
 witness_service::recordIntent(const once::idempotency_key &Key,
                               base::boot_time Deadline) {
