--- a/src/entry/detail/load_board.cpp
+++ b/src/entry/detail/load_board.cpp
@@ -76,6 +76,7 @@
     if (Peer.ValidUntil >= Now)
       Add(Peer.Region, Peer.Loads);
   std::vector<config::service_load> Result;
+  Result.reserve(Sums.size());
   for (auto &[Place, Sum] : Sums)
     Result.push_back(std::move(Sum));
   return Result;
