Take a request's socket from the thread that serves it

Cause: the server kept the sockets of its connections in a table by the client's address. When a client reset a connection while its handler ran and connected again from the same port, the end of the old connection erased the entry of the new one. Requests on it then had no socket, so the entry no longer noticed that the caller left.

Ruled out: a descriptor number that another connection reuses while a handler runs. libmicrohttpd runs the handler in the thread of the connection and closes the descriptor only after that thread has ended.

Change: libmicrohttpd calls the URI callback in the connection's thread at the start of each request. It notes the socket in a variable of that thread, from which the handler takes it. The table and its lock are gone.

Before: KeepsTheSocketOfAConnectionFromTheSamePort failed at its last check (thread sanitizer build, one run). After: it passes, as do the other tests of http_server (same build).

Conclusion: a request's socket belongs to the connection that carries it, whatever address its client has used before.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -3,7 +3,6 @@
 #include <arpa/inet.h>
 #include <array>
 #include <cstring>
-#include <mutex>
 #include <ulfius.h>
 #include <vector>
 
@@ -15,8 +14,6 @@
   }
 
   static int serve(const _u_request *Raw, _u_response *Answer, void *Context);
-  static void trackConnection(void *Context, MHD_Connection *Connection,
-                              void **, MHD_ConnectionNotificationCode Code);
 
   base::endpoint Listen;
   server_limits Limits;
@@ -24,12 +21,22 @@
   _u_instance Instance{};
   sockaddr_in Bind{};
   bool Running = false;
-  std::mutex Mutex;
-  /// Sockets of open connections by the client's address; ulfius does not hand
-  /// them to callbacks.
-  std::map<base::endpoint, int> Sockets;
 };
 
+/// Socket of the connection that this thread serves. ulfius does not hand it to
+/// handlers, but each connection has a thread of its own, which keeps the
+/// socket open while a handler runs.
+static thread_local int ServedSocket = -1;
+
+/// Called at the start of each request, before its headers are read.
+static void *onRequestLine(void *, const char *Uri,
+                           MHD_Connection *Connection) {
+  const MHD_ConnectionInfo *Socket =
+      MHD_get_connection_info(Connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  ServedSocket = Socket == nullptr ? -1 : Socket->connect_fd;
+  return ulfius_uri_logger(nullptr, Uri);
+}
+
 static base::endpoint toEndpoint(const sockaddr *Address) {
   base::endpoint Result;
   if (Address == nullptr || Address->sa_family != AF_INET)
@@ -113,12 +120,7 @@
     toUlfius(*Refused, *Answer);
     return U_CALLBACK_COMPLETE;
   }
-  {
-    const std::lock_guard<std::mutex> Lock(Server.Mutex);
-    const auto Found = Server.Sockets.find(Request.Client);
-    if (Found != Server.Sockets.end())
-      Request.Socket = Found->second;
-  }
+  Request.Socket = ServedSocket;
   try {
     toUlfius(Server.Handler(Request), *Answer);
   } catch (const std::exception &Failure) {
@@ -128,24 +130,6 @@
   return U_CALLBACK_COMPLETE;
 }
 
-void server::impl::trackConnection(void *Context, MHD_Connection *Connection,
-                                   void **,
-                                   MHD_ConnectionNotificationCode Code) {
-  auto &Server = *static_cast<impl *>(Context);
-  const MHD_ConnectionInfo *Address =
-      MHD_get_connection_info(Connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
-  const MHD_ConnectionInfo *Socket =
-      MHD_get_connection_info(Connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-  if (Address == nullptr || Socket == nullptr)
-    return;
-  const base::endpoint Client = toEndpoint(Address->client_addr);
-  const std::lock_guard<std::mutex> Lock(Server.Mutex);
-  if (Code == MHD_CONNECTION_NOTIFY_STARTED)
-    Server.Sockets[Client] = Socket->connect_fd;
-  else
-    Server.Sockets.erase(Client);
-}
-
 server::server(base::endpoint Listen, server_limits Limits, handler Handler)
     : Impl(std::make_unique<impl>(std::move(Listen), Limits,
                                   std::move(Handler))) {}
@@ -167,13 +151,11 @@
   Server.Instance.max_post_body_size = Server.Limits.MaxBodyBytes + 1;
   Server.Instance.check_utf8 = 0;
   ulfius_set_default_endpoint(&Server.Instance, &impl::serve, &Server);
-  std::array<MHD_OptionItem, 9> Options{{
+  std::array<MHD_OptionItem, 8> Options{{
       {MHD_OPTION_NOTIFY_COMPLETED,
        reinterpret_cast<intptr_t>(&mhd_request_completed), nullptr},
-      {MHD_OPTION_URI_LOG_CALLBACK,
-       reinterpret_cast<intptr_t>(&ulfius_uri_logger), nullptr},
-      {MHD_OPTION_NOTIFY_CONNECTION,
-       reinterpret_cast<intptr_t>(&impl::trackConnection), &Server},
+      {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(&onRequestLine),
+       nullptr},
       {MHD_OPTION_SOCK_ADDR, 0, &Server.Bind},
       {MHD_OPTION_CONNECTION_LIMIT,
        static_cast<intptr_t>(Server.Limits.MaxConnections), nullptr},
