Return the slot of an attempt that throws

Cause: forwarder::run() released a target's slot only after tryOnce() returned. Opening a connection throws when the process has no file descriptor left, and the slot then stayed taken for good.

Ruled out: a leak of the connection pool's count; its lease returns it when the exception passes.

Change: the slot is released as cancelled before the exception goes on.

Conclusion: a lack of descriptors costs the requests that meet it, not the target.

--- a/src/callers/detail/forwarder.cpp
+++ b/src/callers/detail/forwarder.cpp
@@ -154,7 +154,14 @@
     if (!Target)
       return Final(refusal(Context, Target.error()));
     const base::boot_time Start = base::boot_clock::now();
-    attempt Attempt = tryOnce(Context, Snapshot, Place, Target.value());
+    attempt Attempt{{outcome::Unknown, {}}};
+    try {
+      Attempt = tryOnce(Context, Snapshot, Place, Target.value());
+    } catch (...) {
+      Place.Queue->release(Target.value().Id, attempt_result::Cancelled,
+                           base::boot_clock::now() - Start);
+      throw;
+    }
     Place.Queue->release(Target.value().Id, Attempt.Result,
                          base::boot_clock::now() - Start);
     MayHaveRun = MayHaveRun || Attempt.Answer.Outcome == outcome::Unknown;
--- a/tests/unit-callers-dispatch.cpp
+++ b/tests/unit-callers-dispatch.cpp
@@ -2,6 +2,7 @@
 #include "support/fake_entry.hpp"
 
 #include <algorithm>
+#include <sys/resource.h>
 #include <thread>
 
 #include <CppUTest/TestHarness.h>
@@ -73,6 +74,25 @@
   CHECK_EQUAL(18u, Targets.Targets[0]->journal().size());
 }
 
+// Guards against a slot that stays taken when an attempt ends with an
+// exception, as it does while the process has no file descriptor left: the
+// target would never be used again.
+TEST(callers_dispatch, AnAttemptThatThrowsReturnsItsSlot) {
+  Behaviour.Slots = 1;
+  Targets.add("stock", "r1", Behaviour);
+  start();
+  rlimit Files{};
+  CHECK_EQUAL(0, getrlimit(RLIMIT_NOFILE, &Files));
+  // The standard streams are open; poll() refuses more sockets than the limit.
+  const rlimit NoneLeft{3, Files.rlim_max};
+  CHECK_EQUAL(0, setrlimit(RLIMIT_NOFILE, &NoneLeft));
+  const auto Failed = Entry->call("GET", "/s/stock/x");
+  CHECK_EQUAL(0, setrlimit(RLIMIT_NOFILE, &Files));
+  CHECK_EQUAL(callers::number(problem_code::InternalError),
+              test_support::problemCode(Failed));
+  CHECK_EQUAL(200, Entry->call("GET", "/s/stock/x").Status);
+}
+
 // Guards against a request that goes out although a cap leaves no share.
 TEST(callers_dispatch, ARequestOverACapIsNotSent) {
   Targets.add("stock", "r1", Behaviour);
