Let a stop that comes before a wait end it

Cause: the seat claimer's wait for its next step compared the stop flag with its value at the start of the wait. A stop() between the taking of the step and the wait was taken for the earlier state, and the seat was released only when the step was due.

Ruled out: waiting for the flag alone. After the release has begun the flag stays set and the waits of the release would end at once.

Change: a wait ends when a stop is asked for and the release has not begun.

Before and after: found by reading; the window is a few instructions wide and no test shows it.

Conclusion: stop() no longer waits for a step that was taken before it.

--- a/src/store/seat_claimer.cpp
+++ b/src/store/seat_claimer.cpp
@@ -72,9 +72,9 @@
 
 void seat_claimer::impl::perform(const wait_until &Step) {
   std::unique_lock<std::mutex> Lock(Mutex);
-  const bool WasStopping = Stopping;
+  // stop() may have been called since the step was taken.
   Wake.wait_for(Lock, Step.Time - base::boot_clock::now(),
-                [&] { return Stopping != WasStopping; });
+                [this] { return Stopping && !GiveUpAt; });
 }
 
 void seat_claimer::impl::logChange() {
