Refresh the caller service by one thread at a time

Cause: refresh() runs on the control thread, on handler threads after a seal and on the thread that stops the entry.

Ruled out: a deadlock; no function that refresh() calls refreshes.

Before and after: found by reading; the order of the threads cannot be forced through the public functions, so no test shows it.

Conclusion: the last refresh to end has the latest state.

--- a/src/callers/caller_service.cpp
+++ b/src/callers/caller_service.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <mutex>
 
 namespace skylarkdyke::callers {
 
@@ -45,6 +46,9 @@
   dependencies Dependencies;
   request_observer Observer;
   mutable counters Counters;
+  /// Serialises refresh(), so that neither the tables of an earlier document
+  /// nor a state from before leaving are put in place last.
+  std::mutex Refreshing;
   detail::snapshot_source Source;
   detail::key_gate Gate;
   detail::crash_guard Crashes;
@@ -67,6 +71,7 @@
 }
 
 void caller_service::impl::refresh() {
+  const std::lock_guard<std::mutex> Lock(Refreshing);
   if (const auto Tables = Source.refresh(Leaving))
     Forwarder.configure(*Tables);
 }
