Serialise the rendering of the metrics page

Cause: the page mirrors a counter by adding the difference to its last value. Two scrapes at once could both add the same difference, and the page showed more events than there were.

Ruled out: a data race in the sense of the language; the counters are atomic, which is why the thread sanitizer reports nothing.

Change: render() holds a lock.

Before and after: found by reading. A trial with 4 threads that counted and rendered 250 times each did not show it before the change, so there is no test.

Conclusion: scrapes add each rise once.

--- a/src/entry/detail/metrics_page.cpp
+++ b/src/entry/detail/metrics_page.cpp
@@ -121,6 +121,7 @@
                                  const store::client &Store,
                                  const entries::mesh &Mesh,
                                  const std::vector<caps::cap_state> &Caps) {
+  const std::lock_guard<std::mutex> Lock(Rendering);
   readCallers(Callers);
   readStore(Store);
   readMesh(Mesh);
--- a/src/entry/detail/metrics_page.hpp
+++ b/src/entry/detail/metrics_page.hpp
@@ -8,6 +8,7 @@
 #include "skylarkdyke/store/client.hpp"
 
 #include <chrono>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,9 @@
   void readCaps(const std::vector<caps::cap_state> &Caps);
 
   metrics::registry Registry;
+  /// Serialises render(): a counter is mirrored by adding what it has risen by
+  /// since the last reading.
+  std::mutex Rendering;
 };
 
 } // namespace skylarkdyke::entry::detail
