Order the publications of an entry's identity

Cause: the control thread, handler threads after a seal and the stopping thread each read the identity and hand it to the mesh. One that read before a change could hand its copy over after the other's, and peers kept seeing a sealed incarnation, or an entry that does not leave, until the next change.

Ruled out: merging in mesh::setSelf(); it cannot tell which of two copies is newer.

Change: reading and handing over are one step under a lock.

Before and after: found by reading; an entry offers no point at which a test could hold one of the threads, so no test shows it.

Conclusion: the mesh always ends with the latest identity.

--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -13,6 +13,7 @@
 #include "skylarkdyke/store/seat_claimer.hpp"
 #include "skylarkdyke/targets/prober.hpp"
 
+#include <mutex>
 #include <thread>
 
 namespace skylarkdyke::entry {
@@ -47,6 +48,7 @@
   ~impl();
 
   callers::dependencies callerDependencies();
+  void publishSelf();
   void tick();
   void updateReadiness();
   void updateSeat();
@@ -58,6 +60,9 @@
 
   settings::entry_settings Settings;
   detail::identity Identity;
+  /// Orders the publications of the identity, so that the last one is the
+  /// latest state.
+  std::mutex Publishing;
   config::holder Config;
   store::client Store;
   entries::guarded_ledger Shares;
@@ -142,7 +147,7 @@
   };
   Functions.IncarnationSealed = [this](base::incarnation_id Sealed) {
     if (Identity.replaceIncarnation(Sealed))
-      Mesh.setSelf(Identity.current());
+      publishSelf();
   };
   Functions.ReportCrash = [this](const poison::crash_report &Report) {
     Crashes.report(Report);
@@ -150,6 +155,12 @@
   return Functions;
 }
 
+/// Tells the other entries of a change of the identity.
+void entry::impl::publishSelf() {
+  const std::lock_guard<std::mutex> Lock(Publishing);
+  Mesh.setSelf(Identity.current());
+}
+
 void entry::impl::updateReadiness() {
   const auto Document = Config.current();
   // A store answer alone may be stale; peers may hold a newer version.
@@ -161,7 +172,7 @@
         << Settings.Name.str() << " with version " << Document->Version;
   }
   if (Identity.update(IsReady, Document ? Document->Version : 0))
-    Mesh.setSelf(Identity.current());
+    publishSelf();
 }
 
 void entry::impl::updateSeat() {
@@ -222,7 +233,7 @@
 void entry::impl::drain() {
   Callers.beginLeaving();
   Identity.setLeaving();
-  Mesh.setSelf(Identity.current());
+  publishSelf();
   const base::boot_time Limit = base::boot_clock::now() + MaxDrainTime;
   while (!Callers.drained() && base::boot_clock::now() < Limit)
     std::this_thread::sleep_for(TickInterval / 4);
