Destroy the caller service before the crash exchange

Cause: the caller service's thread that watches targets after a lost connection ends only with the service, and reports through the crash exchange. The exchange was declared after the service and so destroyed before it: a target that was found down in between led to a use of the destroyed exchange.

Ruled out: the reverse use. The exchange calls the service on the mesh thread, which is stopped before any member is destroyed.

Change: the exchange is declared before the service.

Before and after: found by reading. The seat's release comes between the last request and the destruction, so a test would have to meet a short window; there is none.

Conclusion: the watching thread ends before what it reports to.

--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -71,8 +71,9 @@
   entries::loan_exchange Loans;
   entries::witness_service Witness;
   detail::metrics_page Metrics;
-  callers::caller_service Callers;
   entries::crash_exchange Crashes;
+  /// Its thread that watches crashed targets reports to Crashes until it ends.
+  callers::caller_service Callers;
   store::config_watcher Watcher;
   store::seat_claimer Seat;
   targets::prober Prober;
@@ -90,15 +91,15 @@
       Mesh(meshSettings(Settings, Identity.current())),
       Configs(Mesh, Config, [this](const auto &) { Control.wake(); }),
       Loans(Mesh, Shares), Witness(Mesh, MaxWitnessRecords),
+      Crashes(Mesh,
+              [this](const poison::crash_report &Report) {
+                Callers.addCrash(Report);
+              }),
       Callers(Settings, callerDependencies(),
               [this](const base::service_name &Service,
                      std::chrono::nanoseconds Latency, once::outcome Outcome) {
                 Metrics.observe(Service, Latency, Outcome);
               }),
-      Crashes(Mesh,
-              [this](const poison::crash_report &Report) {
-                Callers.addCrash(Report);
-              }),
       Watcher(Store, Config, [this](const auto &) { Control.wake(); }),
       Seat(Store, {}, Identity.current().Incarnation, Settings.Name),
       Prober([this](const targets::probe_result &Result) {
