--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -18,6 +18,7 @@
 #include "skylarkdyke/targets/prober.hpp"
 
 #include <algorithm>
+#include <mutex>
 #include <thread>
 
 namespace skylarkdyke::entry {
@@ -54,6 +55,7 @@
   ~impl();
 
   callers::dependencies callerDependencies();
+  void publishSelf();
   void tick();
   bool hasSettled() const;
   void updateReadiness();
@@ -69,6 +71,9 @@
 
   settings::entry_settings Settings;
   detail::identity Identity;
+  /// Orders the publications of the identity, so that the last one is the
+  /// latest state.
+  std::mutex Publishing;
   config::holder Config;
   store::client Store;
   store::config_store Documents;
@@ -79,8 +84,9 @@
   entries::witness_service Witness;
   detail::metrics_page Metrics;
   detail::load_board Loads;
-  callers::caller_service Callers;
   entries::crash_exchange Crashes;
+  /// Its thread that watches crashed targets reports to Crashes until it ends.
+  callers::caller_service Callers;
   store::config_watcher Watcher;
   store::seat_claimer Seat;
   targets::prober Prober;
@@ -100,16 +106,16 @@
       Configs(Mesh, Config,
               [this](const auto &Document) { installed(Document); }),
       Lending(Mesh, Shares), Witness(Mesh, MaxWitnessRecords),
+      Crashes(Mesh,
+              [this](const poison::crash_report &Report) {
+                Callers.addCrash(Report);
+              }),
       Callers(Settings, callerDependencies(),
               [this](const base::service_name &Service,
                      std::chrono::nanoseconds Latency, once::outcome Outcome) {
                 Metrics.observe(Service, Latency, Outcome);
                 Loads.countRequest(Service);
               }),
-      Crashes(Mesh,
-              [this](const poison::crash_report &Report) {
-                Callers.addCrash(Report);
-              }),
       Watcher(Store, Config,
               [this](const auto &Document) { installed(Document); }),
       Seat(Store, {}, Identity.current().Incarnation, Settings.Name),
@@ -173,7 +179,7 @@
   };
   Functions.IncarnationSealed = [this](base::incarnation_id Sealed) {
     if (Identity.replaceIncarnation(Sealed))
-      Mesh.setSelf(Identity.current());
+      publishSelf();
   };
   Functions.ReportCrash = [this](const poison::crash_report &Report) {
     Crashes.report(Report);
@@ -203,6 +209,12 @@
   return Reachable >= Others;
 }
 
+/// Tells the other entries of a change of the identity.
+void entry::impl::publishSelf() {
+  const std::lock_guard<std::mutex> Lock(Publishing);
+  Mesh.setSelf(Identity.current());
+}
+
 void entry::impl::updateReadiness() {
   const auto Document = Config.current();
   if (!IsReady && Document && hasSettled()) {
@@ -211,7 +223,7 @@
         << Settings.Name.str() << " with version " << Document->Version;
   }
   if (Identity.update(IsReady, Document ? Document->Version : 0))
-    Mesh.setSelf(Identity.current());
+    publishSelf();
 }
 
 void entry::impl::updateSeat() {
@@ -305,7 +317,7 @@
 void entry::impl::drain() {
   Callers.beginLeaving();
   Identity.setLeaving();
-  Mesh.setSelf(Identity.current());
+  publishSelf();
   const base::boot_time Limit = base::boot_clock::now() + MaxDrainTime;
   while (!Callers.drained() && base::boot_clock::now() < Limit)
     std::this_thread::sleep_for(TickInterval / 4);
--- a/tests/unit-callers-dispatch.cpp
+++ b/tests/unit-callers-dispatch.cpp
@@ -73,6 +73,20 @@
   CHECK_EQUAL(18u, Targets.Targets[0]->journal().size());
 }
 
+// Guards against a slot that stays taken when an attempt ends with an
+// exception, as it does while the process has no file descriptor left: the
+// target would never be used again. An address that is not numeric makes the
+// client throw at the same place.
+TEST(callers_dispatch, AnAttemptThatThrowsReturnsItsSlot) {
+  Behaviour.Slots = 1;
+  Targets.add("stock", "r1", Behaviour);
+  Targets.Document->Targets.front().Address.Address = "unresolved";
+  start();
+  for (int Turn = 0; Turn < 2; ++Turn)
+    CHECK_EQUAL(callers::number(problem_code::InternalError),
+                test_support::problemCode(Entry->call("GET", "/s/stock/x")));
+}
+
 // Guards against a request that goes out although a cap leaves no share.
 TEST(callers_dispatch, ARequestOverACapIsNotSent) {
   Targets.add("stock", "r1", Behaviour);
