Add a soak test of mixed faults

Cause: the system tests inject one or two faults at a time. Faults that need several at the same moment had no test.

Callers read and order with up to four tries of a key, and two operators submit conflicting documents at the same moment. A graceful stop must end with exit code 0 within 20 s. On a violation the run prints the faults with their times. SKYLARKDYKE_SOAK_SECONDS is the length of the faults.

The load ends with the faults, so that the check of recovery does not demand service from such an entry above the caps.

--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -207,6 +207,13 @@
   put(*this, "POST", Plan.TargetControls.at(Service), "/behaviour", Behaviour);
 }
 
+void cluster::crashTarget(const emulators::target_plan &Target,
+                          std::chrono::milliseconds DownTime) const {
+  put(*this, "POST", Plan.TargetControls.at(Target.Service), "/crash",
+      {{"target", base::toString(Target.Listen)},
+       {"down_ms", DownTime.count()}});
+}
+
 std::vector<run> cluster::journal() const {
   std::vector<run> Runs;
   for (const auto &[Service, Control] : Plan.TargetControls) {
--- a/tests/support/cluster.hpp
+++ b/tests/support/cluster.hpp
@@ -93,11 +93,19 @@
   /// \brief Changes the behaviour of a service's targets.
   void setBehaviour(const std::string &Service,
                     const nlohmann::json &Behaviour) const;
+  /// \brief Closes all connections of one target and refuses new ones for some
+  /// time.
+  void crashTarget(const skylarkdyke::emulators::target_plan &Target,
+                   std::chrono::milliseconds DownTime) const;
   /// \brief All runs that the targets of all services recorded.
   std::vector<run> journal() const;
   /// \brief Number of runs for each idempotency key.
   std::map<std::string, unsigned> runsByKey() const;
 
+  /// \brief Where settings and logs are kept while the cluster exists, and
+  /// longer if SKYLARKDYKE_KEEP_LOGS is set.
+  const std::filesystem::path &directory() const { return Directory; }
+
   skylarkdyke::emulators::deployment Plan;
 
 private:
