Refuse new requests once a leaving entry is named no more

Ruled out: closing the port at once, which would cut requests in flight.

Before: a request after the expiry was served. After: 503 not-run (unit-callers-lookup).

--- a/src/callers/caller_service.cpp
+++ b/src/callers/caller_service.cpp
@@ -33,6 +33,10 @@
         Relay(Dependencies, Counters) {}
 
   answer lookUp(const http::server_request &Request);
+  /// True when this entry is leaving and no lookup answer names it any more.
+  /// New requests are refused then; callers that send on regardless would keep
+  /// it from ever being drained.
+  bool isClosed() const;
   answer ready() const;
   answer forward(const http::server_request &Request);
   answer forwardKeyed(request_context &Context, const snapshot &Snapshot);
@@ -76,6 +80,12 @@
     Forwarder.configure(*Tables);
 }
 
+bool caller_service::impl::isClosed() const {
+  return Leaving &&
+         std::chrono::system_clock::now().time_since_epoch().count() >=
+             NamedUntil;
+}
+
 answer caller_service::impl::ready() const {
   const auto Snapshot = Source.current();
   if (!Snapshot || !Snapshot->Self.Ready || Leaving)
@@ -209,6 +219,9 @@
   if (!Context.Settings)
     return problem(problem_code::ServiceUnknown, outcome::NotRun,
                    "there is no service '" + Context.Service.str() + "'");
+  if (isClosed())
+    return problem(problem_code::NotReady, outcome::NotRun,
+                   "the entry has left; ask a lookup for another");
   if (base::boot_clock::now() >= Context.Deadline) {
     Counters.add(counter::DeadlinePassed);
     return problem(problem_code::DeadlinePassed, outcome::NotRun,
@@ -354,9 +367,7 @@
 }
 
 bool caller_service::drained() const {
-  return Impl->Leaving && Impl->InFlight == 0 &&
-         std::chrono::system_clock::now().time_since_epoch().count() >=
-             Impl->NamedUntil;
+  return Impl->isClosed() && Impl->InFlight == 0;
 }
 
 std::vector<service_load> caller_service::loads() const {
--- a/tests/unit-callers-lookup.cpp
+++ b/tests/unit-callers-lookup.cpp
@@ -76,6 +76,11 @@
   CHECK_EQUAL(200, Entry->call("GET", "/s/stock/x").Status);
   std::this_thread::sleep_for(2100ms);
   CHECK_TRUE(Entry->Service->drained());
+  // Guards against callers that send on regardless and keep it from draining.
+  const http::response Late = Entry->call("GET", "/s/stock/x");
+  CHECK_EQUAL(503, Late.Status);
+  STRCMP_EQUAL("not-run",
+               test_support::header(Late, "Request-Outcome").c_str());
 }
 
 // Guards against an error number that the manual does not explain.
