Log in to read the metrics in the soak test

Cause: the administration port asks for a login since the operators' port was wired in, so the soak test read version 0 everywhere and failed. No check changed.

--- a/tests/support/version_watch.cpp
+++ b/tests/support/version_watch.cpp
@@ -1,5 +1,7 @@
 #include "support/version_watch.hpp"
 
+#include "skylarkdyke/base/base64.hpp"
+
 namespace test_support {
 
 using namespace skylarkdyke;
@@ -29,6 +31,8 @@
                                         std::size_t Entry) {
   http::request Request;
   Request.Target = "/metrics";
+  // The operator of emulated deployments.
+  Request.Headers["Authorization"] = "Basic " + base::encodeBase64("demo:demo");
   const answer Answer =
       Cluster.ask(Cluster.Plan.Entries.at(Entry).AdminAddress, Request, 1s);
   const auto &Links = Cluster.Plan.Document.Links;
