--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -132,13 +132,24 @@
         streams = ",".join(f"{s}@{source}:{options.rate}" for s in services)
         result = deployment.directory / f"load-{region}.json"
         words = [options.binary, "load", *entries, f"--streams={streams}", f"--seconds={seconds}",
-                 f"--source_address={source}", "--keyed_share=0.2", f"--json={result}", "--repeat_unknown",
+                 f"--source_address={source}", f"--keyed_share={options.keyed_share}", f"--callers={options.callers}", f"--json={result}", "--repeat_unknown",
                  f"--verify={','.join(plan['target_controls'].values())}", f"--seed={options.seed}"]
         log = open(deployment.directory / f"load-{region}.log", "w")
         loads.append((region, subprocess.Popen(words, stdout=log, stderr=log), result))
     return loads
 
 
+def change_cap_and_drain(deployment, accepted):
+    """Halves the first region's cap and drains its first failure domain, whose name it returns."""
+    regions = deployment.document["regions"]
+    regions[0]["cap_per_second"] //= 2
+    deployment.change(regions=regions)
+    domain = regions[0]["domains"][0]
+    start = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(accepted))
+    deployment.change(drains=[{"scope": "domain", "name": domain, "action": "leave", "start": start}])
+    return domain
+
+
 def drain_time(deployment, domain, accepted):
     """Seconds from the request to leave until the last run at the domain's targets ended."""
     listens = {t["listen"] for t in deployment.plan["targets"] if t["domain"] == domain}
@@ -186,6 +197,10 @@
     parser.add_argument("--work-us", dest="work_us", type=int, default=10000, help="mean work time of a request")
     parser.add_argument("--seconds", type=int, default=20)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--keyed-share", dest="keyed_share", type=float, default=0.2,
+                        help="part of the requests that are orders with a key")
+    parser.add_argument("--callers", type=int, default=16, help="threads of each service in each region")
+    parser.add_argument("--steady", action="store_true", help="change nothing while callers send requests")
     parser.add_argument("--keep", action="store_true", help="leave the deployment running until Ctrl-C")
     options = parser.parse_args()
     options.binary = str(pathlib.Path(options.binary).resolve())
@@ -196,20 +211,16 @@
             deployment.start_all()
             loads = start_load(deployment, options.seconds)
             time.sleep(WARM_UP_SECONDS)
-            regions = deployment.document["regions"]
-            regions[0]["cap_per_second"] //= 2
-            deployment.change(regions=regions)
-            domain = regions[0]["domains"][0]
             accepted = time.time()
-            start = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(accepted))
-            deployment.change(drains=[{"scope": "domain", "name": domain, "action": "leave", "start": start}])
+            domain = None if options.steady else change_cap_and_drain(deployment, accepted)
             time.sleep(max(0.0, options.seconds - WARM_UP_SECONDS - 3))
             samples = deployment.metrics()
             peaks = {(p["from"], p["to"]): p["bytes_per_second"]
                      for p in json.loads(call("GET", f"http://{deployment.plan['proxy_control']}/peaks"))}
             faults = report(loads)
             print_headroom(deployment, samples, peaks)
-            print(f"\ndrain of {domain}: empty {drain_time(deployment, domain, accepted):.1f} s after the request")
+            if domain:
+                print(f"\ndrain of {domain}: empty {drain_time(deployment, domain, accepted):.1f} s after the request")
             print(f"load processes that found a lost, doubled or wrong request: {faults}")
             if options.keep:
                 print(f"console: http://{deployment.plan['entries'][0]['admin_address']}/console/ operator demo, token demo (Ctrl-C stops)")
--- a/src/callers/detail/problem.cpp
+++ b/src/callers/detail/problem.cpp
@@ -1,21 +1,13 @@
 #include "callers/detail/problem.hpp"
 
-#include <algorithm>
+#include "skylarkdyke/http/problem.hpp"
+
 #include <array>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace skylarkdyke::callers {
 
-namespace {
-
-struct code_text {
-  problem_code Code;
-  int Status;
-  const char *Title;
-};
-
-} // namespace
+using code_text = http::problem_text<problem_code>;
 
 static constexpr std::array Texts = {
     code_text{problem_code::NoSuchResource, 404, "No such resource"},
@@ -63,9 +55,7 @@
 };
 
 static const code_text &textOf(problem_code Code) {
-  return *std::find_if(
-      Texts.begin(), Texts.end(),
-      [Code](const code_text &Text) { return Text.Code == Code; });
+  return http::findProblem(Texts, Code);
 }
 
 const char *titleOf(problem_code Code) { return textOf(Code).Title; }
@@ -86,13 +76,9 @@
   Response.Headers["Request-Outcome"] = once::toString(Outcome);
   if (Response.Status == 503 && Outcome == once::outcome::NotRun)
     Response.Headers["Retry-After"] = RetryAfterSeconds;
-  Response.Body = nlohmann::json{
-      {"type", "urn:skylarkdyke:error:" + std::to_string(number(Code))},
-      {"title", titleOf(Code)},
-      {"status", Response.Status},
-      {"code", number(Code)},
-      {"detail",
-       Detail}}.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  Response.Body =
+      http::problemDetails(textOf(Code), number(Code), Detail)
+          .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   return {Outcome, std::move(Response)};
 }
 
--- a/src/operators/detail/problem.cpp
+++ b/src/operators/detail/problem.cpp
@@ -1,21 +1,14 @@
 #include "operators/detail/problem.hpp"
 
-#include <algorithm>
+#include "skylarkdyke/http/problem.hpp"
+
 #include <array>
 
 namespace skylarkdyke::operators {
 
 using nlohmann::json;
 
-namespace {
-
-struct code_text {
-  problem_code Code;
-  int Status;
-  const char *Title;
-};
-
-} // namespace
+using code_text = http::problem_text<problem_code>;
 
 static constexpr std::array Texts = {
     code_text{problem_code::NotAuthenticated, 401, "Name or token is wrong"},
@@ -42,9 +35,7 @@
 };
 
 static const code_text &textOf(problem_code Code) {
-  return *std::find_if(
-      Texts.begin(), Texts.end(),
-      [Code](const code_text &Text) { return Text.Code == Code; });
+  return http::findProblem(Texts, Code);
 }
 
 const char *titleOf(problem_code Code) { return textOf(Code).Title; }
@@ -64,11 +55,7 @@
 }
 
 json problemBody(problem_code Code, const std::string &Detail) {
-  return {{"type", "urn:skylarkdyke:error:" + std::to_string(number(Code))},
-          {"title", titleOf(Code)},
-          {"status", statusOf(Code)},
-          {"code", number(Code)},
-          {"detail", Detail}};
+  return http::problemDetails(textOf(Code), number(Code), Detail);
 }
 
 http::response problem(problem_code Code, const std::string &Detail,
--- a/tests/unit-metrics-registry.cpp
+++ b/tests/unit-metrics-registry.cpp
@@ -13,10 +13,10 @@
 using namespace std::chrono_literals;
 using std::chrono::nanoseconds;
 
-TEST_GROUP(MetricsRegistry) { metrics::registry Registry; };
+TEST_GROUP(metrics_registry) { metrics::registry Registry; };
 
 // Guards against text that a Prometheus server does not parse.
-TEST(MetricsRegistry, RendersThePrometheusTextFormat) {
+TEST(metrics_registry, RendersThePrometheusTextFormat) {
   Registry.counter("requests_total", "All\nrequests \\ \"here\"").add(3);
   Registry.gauge("headroom", "Left", {{"region", "a\"b\\c\nd"}, {"cap", "x"}})
       .set(0.25);
@@ -31,7 +31,7 @@
 
 // Guards against buckets that are not cumulative, and against a count that
 // differs from the last bucket, which a server refuses.
-TEST(MetricsRegistry, RendersCumulativeBuckets) {
+TEST(metrics_registry, RendersCumulativeBuckets) {
   auto &Latency = Registry.latency("wait_seconds", "Wait", {{"service", "s"}});
   for (const nanoseconds Sample : {nanoseconds(1us), nanoseconds(2ms),
                                    nanoseconds(30ms), nanoseconds(90s)})
@@ -60,7 +60,7 @@
 
 // Guards against one name with two kinds or an invalid name, either of which
 // makes the whole page unreadable to a server.
-TEST(MetricsRegistry, RefusesInvalidUse) {
+TEST(metrics_registry, RefusesInvalidUse) {
   Registry.counter("a", "");
   CHECK_THROWS(std::invalid_argument, Registry.gauge("a", ""));
   CHECK_THROWS(std::invalid_argument, Registry.counter("1a", ""));
@@ -71,7 +71,7 @@
 
 // Guards against updates lost between threads, and against two metrics for one
 // label set.
-TEST(MetricsRegistry, ThreadsShareTheirMetrics) {
+TEST(metrics_registry, ThreadsShareTheirMetrics) {
   std::vector<std::thread> Threads;
   Threads.reserve(3);
   for (int Thread = 0; Thread < 3; ++Thread)
@@ -95,7 +95,7 @@
 }
 
 // Guards against reported percentiles that are off by more than a bucket.
-TEST(MetricsRegistry, QuantilesAreWithinABucketOfTheSortedSamples) {
+TEST(metrics_registry, QuantilesAreWithinABucketOfTheSortedSamples) {
   CHECK(!Registry.latency("empty_seconds", "").quantile(0.5));
   CHECK(rc::check([] {
     metrics::latency_histogram Histogram;
--- a/tests/unit-steering-client-blocks.cpp
+++ b/tests/unit-steering-client-blocks.cpp
@@ -32,10 +32,10 @@
   return Found;
 }
 
-TEST_GROUP(ClientBlocks){};
+TEST_GROUP(steering_client_blocks){};
 
 // Guards against clients sent to the region of a wider or neighbouring block.
-TEST(ClientBlocks, EqualsALinearScan) {
+TEST(steering_client_blocks, EqualsALinearScan) {
   CHECK(rc::check([] {
     std::vector<config::client_block> Blocks;
     std::vector<std::uint32_t> Addresses{0, 0xffffffffU};
@@ -68,7 +68,7 @@
 }
 
 // Guards against malformed text being read as some other address.
-TEST(ClientBlocks, RefusesMalformedText) {
+TEST(steering_client_blocks, RefusesMalformedText) {
   for (const char *Text : {"", "1.2.3", "1.2.3.4.5", "1.2.3.256", "01.2.3.4",
                            "1.2.3.-4", "1.2.3.4 ", "::1", "a.b.c.d"}) {
     CHECK(!steering::parseAddress(Text));
--- a/tests/unit-steering-failure-detector.cpp
+++ b/tests/unit-steering-failure-detector.cpp
@@ -17,10 +17,10 @@
           steering::adaptive_timeout(200ms, 150ms, 10)};
 }
 
-TEST_GROUP(FailureDetector){};
+TEST_GROUP(steering_failure_detector){};
 
 // Guards against a detector that never suspects, or never trusts again.
-TEST(FailureDetector, SuspectsSilenceAndRecovers) {
+TEST(steering_failure_detector, SuspectsSilenceAndRecovers) {
   for (failure_detector &Detector : allDetectors()) {
     CHECK(suspects(Detector, Start));
     base::boot_time Now = Start;
@@ -39,7 +39,7 @@
 
 // Guards against an adaptive estimate from before a pause of the sender, by
 // which all heartbeats after the pause are late.
-TEST(FailureDetector, AdaptiveEstimateFollowsAPausedSender) {
+TEST(steering_failure_detector, AdaptiveEstimateFollowsAPausedSender) {
   failure_detector Detector = steering::adaptive_timeout(200ms, 150ms, 100);
   base::boot_time Now = Start;
   for (std::uint64_t Sequence = 1; Sequence <= 200; ++Sequence) {
@@ -52,7 +52,7 @@
 
 // Guards against old heartbeats that a restored connection delivers late, and
 // against suspecting a process whose heartbeats vary within the margin.
-TEST(FailureDetector, IgnoresRepeatedHeartbeatsAndToleratesJitter) {
+TEST(steering_failure_detector, IgnoresRepeatedHeartbeatsAndToleratesJitter) {
   CHECK(rc::check([] {
     for (failure_detector &Detector : allDetectors()) {
       base::boot_time Arrival = Start;
--- a/tests/unit-steering-limits.cpp
+++ b/tests/unit-steering-limits.cpp
@@ -14,10 +14,10 @@
 static const base::service_name Service("orders");
 static const base::boot_time Start(1h);
 
-TEST_GROUP(SteeringLimits){};
+TEST_GROUP(steering_limits){};
 
 // Guards against retries that multiply the load of an overloaded service.
-TEST(SteeringLimits, RetriesNeverExceedATenthOfTheRequests) {
+TEST(steering_limits, RetriesNeverExceedATenthOfTheRequests) {
   CHECK(rc::check([](const std::vector<bool> &IsRetry) {
     steering::retry_budget Budget;
     unsigned Requests = 0;
@@ -35,7 +35,7 @@
 }
 
 // Guards against a burst of retries saved up over a long quiet time.
-TEST(SteeringLimits, SavedRetriesAreBounded) {
+TEST(steering_limits, SavedRetriesAreBounded) {
   steering::retry_budget Budget;
   for (int I = 0; I < 100000; ++I)
     Budget.countRequest(Service);
@@ -47,7 +47,7 @@
 
 // Guards against traffic that moves to another region for no gain, stays in an
 // overloaded one, or goes where it cannot run.
-TEST(SteeringLimits, LeavesTheRegionOnlyWhenTheWaitExceedsTheRoundTrip) {
+TEST(steering_limits, LeavesTheRegionOnlyWhenTheWaitExceedsTheRoundTrip) {
   steering::region_option Own{base::region_name("own"), true, 35ms, 0ms};
   steering::region_option Far{base::region_name("far"), true, 0ms, 35ms};
   const steering::region_option Full{base::region_name("full"), false, 0ms,
@@ -85,7 +85,7 @@
 
 // Guards against a failover that fills another region at once, and against one
 // that never completes.
-TEST(SteeringLimits, FailoverRisesByTheCapAndCompletes) {
+TEST(steering_limits, FailoverRisesByTheCapAndCompletes) {
   steering::shift_limiter Limiter(10);
   base::boot_time Now = Start;
   for (int Second = 0; Second < 60; ++Second, Now += 1s)
@@ -101,7 +101,7 @@
 
 // Guards against a low rate at which a tenth of a request per second would
 // round to none.
-TEST(SteeringLimits, LowRatesFailOverToo) {
+TEST(steering_limits, LowRatesFailOverToo) {
   steering::shift_limiter Limiter(10);
   base::boot_time Now = Start;
   int Shifted = 0;
@@ -112,7 +112,7 @@
 
 // Guards against any pattern of load that lets more through in a second than
 // the most in an earlier one plus the cap.
-TEST(SteeringLimits, NoPatternPassesTheCap) {
+TEST(steering_limits, NoPatternPassesTheCap) {
   CHECK(rc::check([] {
     steering::shift_limiter Limiter(10);
     base::boot_time Now = Start;
--- a/tests/unit-steering-lookup-order.cpp
+++ b/tests/unit-steering-lookup-order.cpp
@@ -30,7 +30,7 @@
   return Document;
 }
 
-TEST_GROUP(LookupOrder) {
+TEST_GROUP(steering_lookup_order) {
   std::vector<entries::member> Members{
       makeMember("n1", North), makeMember("n2", North), makeMember("e1", East),
       makeMember("e2", East), makeMember("w1", West)};
@@ -47,7 +47,7 @@
 
 // Guards against an extra hop for most requests, and against naming far regions
 // before near ones.
-TEST(LookupOrder, DispatcherThenOwnRegionThenByRoundTrip) {
+TEST(steering_lookup_order, DispatcherThenOwnRegionThenByRoundTrip) {
   const auto Names = namesFor(North);
   LONGS_EQUAL(4, Names.size());
   CHECK(Names[0] ==
@@ -58,7 +58,7 @@
 }
 
 // Guards against callers being sent to entries that cannot serve them.
-TEST(LookupOrder, LeavesOutMembersThatTakeNoNewWork) {
+TEST(steering_lookup_order, LeavesOutMembersThatTakeNoNewWork) {
   Members[0].Leaving = true;
   Members[1].Reachable = false;
   Members[4].Ready = false;
@@ -71,7 +71,7 @@
 }
 
 // Guards against a lookup answer that becomes useless when its region fails.
-TEST(LookupOrder, LastPlaceNamesAnotherRegion) {
+TEST(steering_lookup_order, LastPlaceNamesAnotherRegion) {
   for (const char *Name : {"n3", "n4", "n5"})
     Members.push_back(makeMember(Name, North));
   const auto Names = namesFor(North);
@@ -82,7 +82,8 @@
 
 // Guards against services moving between entries that did not change, and
 // against an entry that dispatches far more than its share.
-TEST(LookupOrder, MembershipChangesMoveOnlyTheServicesOfTheChangedEntry) {
+TEST(steering_lookup_order,
+     MembershipChangesMoveOnlyTheServicesOfTheChangedEntry) {
   CHECK(rc::check([] {
     std::vector<entries::member> All;
     const int Count = *rc::gen::inRange(2, 12);
--- a/tests/unit-steering-ramp.cpp
+++ b/tests/unit-steering-ramp.cpp
@@ -32,10 +32,10 @@
   return Target;
 }
 
-TEST_GROUP(Ramp){};
+TEST_GROUP(steering_ramp){};
 
 // Guards against a target that receives new work after its drain's start.
-TEST(Ramp, TargetLeavesAtOnce) {
+TEST(steering_ramp, TargetLeavesAtOnce) {
   const ramp Ramp(
       makeDocument({{drain_scope::Target, "t-1", drain_action::Leave, Start}}));
   DOUBLES_EQUAL(1, Ramp.weight(makeTarget(), Start - 1ms), 0);
@@ -45,7 +45,7 @@
 
 // Guards against an earlier drain of a scope overriding a later one, and
 // against a jump to zero when a return starts before the leave is complete.
-TEST(Ramp, LatestDrainWinsFromWhereTheWeightIs) {
+TEST(steering_ramp, LatestDrainWinsFromWhereTheWeightIs) {
   const ramp Ramp(makeDocument(
       {{drain_scope::Domain, "n-a", drain_action::Return, Start + 4s},
        {drain_scope::Domain, "n-a", drain_action::Leave, Start}}));
@@ -59,7 +59,7 @@
 
 // Guards against a scope staying out of use, or jumping back to full weight,
 // when its leave was dropped from the document.
-TEST(Ramp, ReturnWithoutLeaveRisesFromZero) {
+TEST(steering_ramp, ReturnWithoutLeaveRisesFromZero) {
   const ramp Ramp(makeDocument(
       {{drain_scope::Region, "north", drain_action::Return, Start}}));
   DOUBLES_EQUAL(0, Ramp.weight(makeTarget(), Start - 1s), 0);
@@ -68,7 +68,7 @@
 
 // Guards against a weight that moves faster than the shift cap, whatever the
 // drains and however they overlap.
-TEST(Ramp, NeverMovesFasterThanTheCap) {
+TEST(steering_ramp, NeverMovesFasterThanTheCap) {
   CHECK(rc::check([] {
     std::vector<config::drain> Drains;
     const int Count = *rc::gen::inRange(0, 12);
--- a/tests/unit-steering-target-chooser.cpp
+++ b/tests/unit-steering-target-chooser.cpp
@@ -23,7 +23,7 @@
   return {Target, Weight};
 }
 
-TEST_GROUP(TargetChooser) {
+TEST_GROUP(steering_target_chooser) {
   target_chooser Chooser;
 
   std::string acquire(base::boot_time Now) {
@@ -37,7 +37,7 @@
 };
 
 // Guards against queueing at a busy target while another has free slots.
-TEST(TargetChooser, TakesTheTargetWithTheSmallestShareInUse) {
+TEST(steering_target_chooser, TakesTheTargetWithTheSmallestShareInUse) {
   Chooser.configure({makeTarget("a", 2), makeTarget("b", 4)}, Start);
   std::map<std::string, int> Counts;
   for (int I = 0; I < 6; ++I)
@@ -48,7 +48,7 @@
 }
 
 // Guards against preferring a slower target when both are equally loaded.
-TEST(TargetChooser, BreaksTiesByOwnLatency) {
+TEST(steering_target_chooser, BreaksTiesByOwnLatency) {
   Chooser.configure({makeTarget("a"), makeTarget("b")}, Start);
   const std::string First = acquire(Start);
   const std::string Second = acquire(Start);
@@ -60,7 +60,7 @@
 
 // Guards against a broken target that reports itself idle, answers errors fast
 // and so is always the one with free slots.
-TEST(TargetChooser, BrokenTargetDoesNotAttractWork) {
+TEST(steering_target_chooser, BrokenTargetDoesNotAttractWork) {
   Chooser.configure({makeTarget("bad"), makeTarget("b"), makeTarget("c")},
                     Start);
   int AtBroken = 0;
@@ -79,7 +79,7 @@
 }
 
 // Guards against stopping a service whose requests, not targets, are bad.
-TEST(TargetChooser, ErrorAnswersEjectAtMostHalfOfTheTargets) {
+TEST(steering_target_chooser, ErrorAnswersEjectAtMostHalfOfTheTargets) {
   Chooser.configure({makeTarget("a"), makeTarget("b"), makeTarget("c")}, Start);
   for (int I = 0; I < 100; ++I) {
     const std::string Chosen = acquire(Start);
@@ -90,7 +90,7 @@
 }
 
 // Guards against a cold target receiving its whole share at once.
-TEST(TargetChooser, ReturnsWithSlowStart) {
+TEST(steering_target_chooser, ReturnsWithSlowStart) {
   Chooser.configure({makeTarget("a"), makeTarget("b")}, Start);
   for (int I = 0; I < 2; ++I)
     release("a", attempt_result::Failed, Start);
@@ -102,7 +102,7 @@
 
 // Guards against a lying health endpoint taking a working target, or all
 // targets, out of use.
-TEST(TargetChooser, OwnObservationGoesBeforeProbes) {
+TEST(steering_target_chooser, OwnObservationGoesBeforeProbes) {
   Chooser.configure({makeTarget("a"), makeTarget("b")}, Start);
   release("a", attempt_result::Completed, Start);
   Chooser.report(base::target_id("a"), false, 0, Start);
@@ -114,7 +114,7 @@
 
 // Guards against a jump of the traffic at the first step of a drain's ramp, and
 // against a leaving target that attracts work because it has free slots.
-TEST(TargetChooser, ShareFollowsTheWeightAtAnyLoad) {
+TEST(steering_target_chooser, ShareFollowsTheWeightAtAnyLoad) {
   for (const unsigned InFlight : {1U, 3U, 5U}) {
     for (const double Weight : {0.95, 0.7, 0.3, 0.05}) {
       target_chooser Any;
@@ -139,7 +139,7 @@
 
 // Guards against more requests at a target than it has slots, and against new
 // work at targets without weight, in any order of calls.
-TEST(TargetChooser, SlotsNeverExceedTheLimit) {
+TEST(steering_target_chooser, SlotsNeverExceedTheLimit) {
   CHECK(rc::check([] {
     target_chooser Any;
     std::map<std::string, weighted_target> Configured;
