Dial the instances that the platform lists

Cause: the poller of the platform's instance list existed, but entries found each other by the addresses in their settings alone, which replaced instances do not keep.

Ruled out: trusting the list for reachability; it lags.

Change: listed instances that are not leaving are dialled. The setting 'platform' names the list's address, the store's unless set.

Before: entries without seeds never met. Conclusion: seeds are now a help for the start, not a need.

--- a/include/skylarkdyke/settings/settings.hpp
+++ b/include/skylarkdyke/settings/settings.hpp
@@ -35,6 +35,8 @@
   /// Address to bind for other entries; PeerAddress unless set.
   base::endpoint PeerListen;
   base::endpoint Store;
+  /// The platform's list of instances, by peer address; Store unless set.
+  base::endpoint Platform;
   /// Peer addresses of other entries, for a start without the platform's list.
   std::vector<base::endpoint> Seeds;
   /// Without any operator the administration port refuses everything.
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -11,6 +11,7 @@
 #include "skylarkdyke/entries/loan_exchange.hpp"
 #include "skylarkdyke/entries/witness_service.hpp"
 #include "skylarkdyke/operators/admin_service.hpp"
+#include "skylarkdyke/platform/instance_poller.hpp"
 #include "skylarkdyke/store/config_store.hpp"
 #include "skylarkdyke/store/config_watcher.hpp"
 #include "skylarkdyke/store/seat_admin.hpp"
@@ -60,6 +61,7 @@
   bool hasSettled() const;
   void updateReadiness();
   void updateSeat();
+  void dial(const platform::instance_list &List);
   void updateTargets();
   operators::dependencies operatorDependencies();
   std::vector<caps::cap_state> capStates();
@@ -89,6 +91,7 @@
   callers::caller_service Callers;
   store::config_watcher Watcher;
   store::seat_claimer Seat;
+  platform::instance_poller Instances;
   targets::prober Prober;
   http::server CallerServer;
   operators::admin_service Admin;
@@ -119,6 +122,8 @@
       Watcher(Store, Config,
               [this](const auto &Document) { installed(Document); }),
       Seat(Store, {}, Identity.current().Incarnation, Settings.Name),
+      Instances(Settings.Platform,
+                [this](const platform::instance_list &List) { dial(List); }),
       Prober([this](const targets::probe_result &Result) {
         Callers.reportProbe(Result);
         Loads.setTarget(Result);
@@ -144,6 +149,7 @@
   CallerServer.stop();
   AdminServer.stop();
   Prober.stop();
+  Instances.stop();
   Watcher.stop();
   Mesh.stop();
 }
@@ -226,6 +232,16 @@
     publishSelf();
 }
 
+/// The platform lists instances by their peer address. The list lags, so it
+/// only tells whom to dial; the mesh decides who is reachable.
+void entry::impl::dial(const platform::instance_list &List) {
+  std::vector<base::endpoint> Addresses;
+  for (const platform::instance &Instance : List.Instances)
+    if (!Instance.IsLeaving)
+      Addresses.push_back(Instance.Address);
+  Mesh.addAddresses(Addresses);
+}
+
 void entry::impl::updateSeat() {
   const auto Authority = Seat.authority();
   const std::lock_guard<std::mutex> Lock(Shares.Mutex);
@@ -345,6 +361,7 @@
   if (!Impl->startServers())
     return false;
   Impl->Watcher.start();
+  Impl->Instances.start();
   Impl->Prober.start();
   Impl->Control.start();
   SKYLARKDYKE_LOG(INFO, EntryStarted)
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -187,6 +187,7 @@
   Settings.PeerAddress = Reader.endpoint("peer_address");
   Settings.PeerListen = Reader.endpointOr("peer_listen", Settings.PeerAddress);
   Settings.Store = Reader.endpoint("store");
+  Settings.Platform = Reader.endpointOr("platform", Settings.Store);
   Settings.Seeds = Reader.endpoints("seeds");
   Settings.Operators = Reader.operators("operators");
   Reader.finish();
