--- a/include/skylarkdyke/base/event.hpp
+++ b/include/skylarkdyke/base/event.hpp
@@ -13,6 +13,8 @@
   EntryReady = 101,
   EntryLeaving = 102,
   EntryStopped = 103,
+  SettingsReloaded = 104,
+  SettingsRefused = 105,
   // 200: configuration
   ConfigInstalled = 200,
   ConfigStaleIgnored = 201,
@@ -53,6 +55,8 @@
   AnswerOfOtherRequest = 502,
   IncarnationSealed = 503,
   OwnerSealed = 504,
+  RequestEnded = 505,
+
   // 600: operators
   OperatorDenied = 600,
   ChangeAccepted = 601,
--- /dev/null
+++ b/include/skylarkdyke/membership/member_table.hpp
@@ -0,0 +1,110 @@
+#ifndef SKYLARKDYKE_MEMBERSHIP_MEMBER_TABLE_HPP
+#define SKYLARKDYKE_MEMBERSHIP_MEMBER_TABLE_HPP
+
+#include "skylarkdyke/base/clock.hpp"
+#include "skylarkdyke/base/endpoint.hpp"
+#include "skylarkdyke/base/names.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace skylarkdyke::membership {
+
+/// Pause between two heartbeats to the same entry.
+inline constexpr std::chrono::milliseconds HeartbeatPeriod{500};
+/// An entry that was not heard for this long is taken for dead.
+inline constexpr std::chrono::milliseconds SilenceLimit{1700};
+/// Dead entries are probed this often.
+inline constexpr std::chrono::milliseconds ProbePeriod{2000};
+/// Dead entries are forgotten after this time.
+inline constexpr std::chrono::seconds ForgetAfter{60};
+
+/// \brief What an entry says of itself in each heartbeat.
+struct entry_status {
+  std::string Name;
+  std::uint64_t Incarnation = 0;
+  base::domain_name Domain;
+  base::endpoint Mesh;
+  /// Where callers connect.
+  base::endpoint Front;
+  bool Ready = false;
+  /// It ends soon and must not be named to callers.
+  bool Leaving = false;
+  std::uint64_t ConfigurationVersion = 0;
+  /// Store revision of the latest change that it applied.
+  std::uint64_t ChangeRevision = 0;
+  /// Requests per second of its callers, by service.
+  std::map<std::string, double> Demand;
+  /// Some mesh addresses that it knows, for entries that know few.
+  std::vector<base::endpoint> Known;
+};
+
+/// \brief Encodes a status as CBOR.
+std::string encode(const entry_status &Status);
+
+/// \brief Decodes a status.
+/// \return nothing if the bytes are not a status of this version
+std::optional<entry_status> decodeStatus(const std::string &Bytes);
+
+/// \brief The entries that one entry knows and when it heard them last.
+///
+/// Pure: time comes in as an argument. Not thread-safe.
+class member_table {
+public:
+  struct member {
+    entry_status Status;
+    base::boot_time HeardAt;
+  };
+
+  /// \param OwnMesh address that is never contacted
+  explicit member_table(base::endpoint OwnMesh);
+
+  /// \brief Adds an address to contact, from the settings, the store or
+  /// another entry.
+  void addAddress(const base::endpoint &Mesh, base::boot_time Now);
+
+  /// \brief Takes in a heartbeat.
+  /// \return true if the entry is new, restarted or back from silence
+  bool hear(const entry_status &Status, base::boot_time Now);
+
+  /// \brief Addresses whose heartbeat is due now; marks them as contacted.
+  std::vector<base::endpoint> due(base::boot_time Now);
+
+  /// \brief Entries heard within the silence limit.
+  std::vector<const member *> live(base::boot_time Now) const;
+
+  /// \brief Up to Count addresses of live entries.
+  std::vector<base::endpoint> sample(std::size_t Count,
+                                     base::boot_time Now) const;
+
+private:
+  struct contact {
+    base::boot_time NextAt;
+    base::boot_time AddedAt;
+    base::boot_time HeardAt{};
+  };
+
+  base::endpoint OwnMesh;
+  std::map<base::endpoint, contact> Contacts;
+  std::map<std::string, member> Members;
+};
+
+/// \brief The entries that a caller should use: ready ones of its region, else
+/// of the allowed regions, else any.
+/// \param RegionOf region of each failure domain
+/// \param Allowed regions to which callers may be sent beside their own; empty:
+/// all
+/// \return front addresses, at most Limit
+std::vector<base::endpoint> entriesForCaller(
+    const std::vector<entry_status> &Ready,
+    const std::map<base::domain_name, base::region_name> &RegionOf,
+    const base::region_name &CallerRegion,
+    const std::vector<base::region_name> &Allowed, std::size_t Limit);
+
+} // namespace skylarkdyke::membership
+
+#endif
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,3 +1,4 @@
+#include "platform/command_serve.hpp"
 #include "skylarkdyke/cli/commands.hpp"
 
 #include <gflags/gflags.h>
@@ -23,6 +24,8 @@
 
 static const std::map<std::string, command> &commands() {
   static const std::map<std::string, command> Commands = {
+      {"serve",
+       {&adapter::serve, "[SETTINGS.toml]: run an entry on the platform"}},
       {"run", {&cli::runEntry, "SETTINGS.toml: run an entry"}},
       {"check", {&cli::checkSettings, "SETTINGS.toml: check a settings file"}},
       {"config",
--- /dev/null
+++ b/src/gateway/detail/steering_state.cpp
@@ -0,0 +1,213 @@
+#include "gateway/detail/steering_state.hpp"
+
+#include "skylarkdyke/base/event.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace skylarkdyke::gateway::detail {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+/// An outage shorter than this lets no discovery record lapse.
+static constexpr milliseconds HarmlessOutage{2500};
+
+/// Builds one visitor from several lambdas.
+template <class... Cases> struct overloaded : Cases... {
+  using Cases::operator()...;
+};
+template <class... Cases> overloaded(Cases...) -> overloaded<Cases...>;
+
+steering_state::steering_state(placement::target_book &Book,
+                               configuration_decoder Decoder,
+                               milliseconds RecordReturnTime, clock Clock)
+    : Book(Book), Decoder(std::move(Decoder)),
+      RecordReturnTime(RecordReturnTime), Clock(std::move(Clock)) {}
+
+void steering_state::installConfiguration(const std::string &Text) {
+  auto Decoded = Decoder(Text);
+  if (!Decoded) {
+    SKYLARKDYKE_LOG(ERROR, ConfigInvalid) << base::toString(Decoded.error());
+    return;
+  }
+  const std::uint64_t Version = Decoded.value().Version;
+  if (Routes && Version <= Routes->version()) {
+    if (Version < Routes->version())
+      SKYLARKDYKE_LOG(INFO, ConfigStaleIgnored)
+          << "version=" << Version << " in_force=" << Routes->version();
+    return;
+  }
+  Document = Text;
+  Routes = std::make_shared<const routing::route_table>(
+      std::move(Decoded.value()));
+  SKYLARKDYKE_LOG(INFO, ConfigInstalled) << "version=" << Version;
+}
+
+base::boot_time steering_state::removalTime() const {
+  // Records that lapsed while the store was away come back soon after it.
+  const auto Now = Clock();
+  const bool AfterOutage =
+      RegainedAt - LostAt > HarmlessOutage && RegainedAt > base::boot_time{};
+  return AfterOutage ? std::max(Now, RegainedAt + RecordReturnTime) : Now;
+}
+
+void steering_state::applyOne(const routing::store_change &Change) {
+  const auto Now = Clock();
+  std::visit(
+      overloaded{
+          [&](const routing::configuration_published &Given) {
+            installConfiguration(Given.Document);
+          },
+          [&](const routing::target_published &Given) {
+            if (!Book.publish(Given.Target, Now))
+              LOG(WARNING) << "target " << Given.Target.Id.str()
+                           << " is in an unknown failure domain";
+          },
+          [&](const routing::target_removed &Given) {
+            Book.remove(Given.Id, removalTime());
+          },
+          [&](const routing::evacuation_started &Given) {
+            Book.startEvacuation(Given.Domain);
+          },
+          [&](const routing::evacuation_ended &Given) {
+            milliseconds ColdTime{0};
+            if (Routes)
+              for (const routing::service &Service : Routes->services())
+                ColdTime = std::max(ColdTime, Service.ColdTime);
+            Book.endEvacuation(Given.Domain, ColdTime, Now);
+          },
+          [&](const routing::entry_announced &Given) {
+            if (OnEntry)
+              OnEntry(Given.MeshAddress);
+          }},
+      Change);
+}
+
+void steering_state::replaceAll(const std::vector<routing::store_change> &Items,
+                                std::uint64_t NewestRevision,
+                                std::uint64_t AsOf) {
+  confirm(AsOf);
+  if (AsOf < SeenRevision)
+    return;
+  std::set<base::target_id> Listed;
+  std::set<base::domain_name> Evacuated;
+  for (const auto &Item : Items) {
+    applyOne(Item);
+    if (const auto *Target = std::get_if<routing::target_published>(&Item))
+      Listed.insert(Target->Target.Id);
+    if (const auto *Domain = std::get_if<routing::evacuation_started>(&Item))
+      Evacuated.insert(Domain->Domain);
+  }
+  Book.removeOthers(Listed, removalTime());
+  const auto Before = Book.evacuated();
+  for (const base::domain_name &Domain : Before)
+    if (Evacuated.count(Domain) == 0)
+      applyOne(routing::evacuation_ended{Domain});
+  HasTargets = HasTargets || !Listed.empty();
+  ChangeRevision = std::max(ChangeRevision, NewestRevision);
+}
+
+void steering_state::apply(const routing::store_change &Change,
+                           std::uint64_t Revision) {
+  applyOne(Change);
+  HasTargets =
+      HasTargets || std::holds_alternative<routing::target_published>(Change);
+  if (!std::holds_alternative<routing::entry_announced>(Change))
+    ChangeRevision = std::max(ChangeRevision, Revision);
+}
+
+void steering_state::confirm(std::uint64_t AsOf) {
+  SeenRevision = std::max(SeenRevision, AsOf);
+  if (!StoreLost)
+    return;
+  StoreLost = false;
+  RegainedAt = Clock();
+  SKYLARKDYKE_LOG(INFO, StoreAvailable) << "revision=" << SeenRevision;
+}
+
+void steering_state::lose(const std::string &Reason) {
+  if (StoreLost)
+    return;
+  StoreLost = true;
+  LostAt = Clock();
+  SKYLARKDYKE_LOG(WARNING, StoreUnavailable) << "reason=" << Reason;
+}
+
+static json encodeTarget(const placement::target_state &State,
+                         base::boot_time Now) {
+  const auto &Target = State.Target;
+  const auto ColdFor = std::chrono::duration_cast<milliseconds>(
+      std::max(State.ColdUntil, Now) - Now);
+  return {Target.Id.str(),
+          Target.Service.str(),
+          base::toString(Target.Address),
+          Target.Domain.str(),
+          Target.Slots,
+          Target.Draining,
+          ColdFor.count(),
+          Target.StartedAtMs};
+}
+
+static routing::target decodeTarget(const json &Fields) {
+  routing::target Target;
+  Target.Id = base::target_id(Fields.at(0).get<std::string>());
+  Target.Service = base::service_name(Fields.at(1).get<std::string>());
+  Target.Address = base::parseEndpoint(Fields.at(2).get<std::string>())
+                       .value_or(base::endpoint());
+  Target.Domain = base::domain_name(Fields.at(3).get<std::string>());
+  Target.Slots = Fields.at(4);
+  Target.Draining = Fields.at(5);
+  Target.ColdFor = milliseconds(Fields.at(6).get<std::int64_t>());
+  Target.StartedAtMs = Fields.at(7);
+  return Target;
+}
+
+std::string steering_state::encodeSnapshot() const {
+  const auto Now = Clock();
+  json Targets = json::array();
+  if (Routes)
+    for (const routing::service &Service : Routes->services())
+      for (const auto *State : Book.targetsOf(Service.Name))
+        if (!State->RemovedAt)
+          Targets.push_back(encodeTarget(*State, Now));
+  json Evacuated = json::array();
+  for (const base::domain_name &Domain : Book.evacuated())
+    Evacuated.push_back(Domain.str());
+  const json Snapshot = {SeenRevision, ChangeRevision, Document, Targets,
+                         Evacuated};
+  std::string Bytes;
+  json::to_cbor(Snapshot, Bytes);
+  return Bytes;
+}
+
+bool steering_state::adoptSnapshot(const std::string &Bytes) {
+  const json Snapshot = json::from_cbor(Bytes, true, false);
+  if (!Snapshot.is_array() || Snapshot.size() != 5)
+    return false;
+  try {
+    const std::uint64_t Seen = Snapshot.at(0);
+    if (Seen <= SeenRevision)
+      return false;
+    std::vector<routing::store_change> Items;
+    const std::string Text = Snapshot.at(2);
+    if (!Text.empty())
+      Items.emplace_back(routing::configuration_published{Text});
+    for (const json &Target : Snapshot.at(3))
+      Items.emplace_back(routing::target_published{decodeTarget(Target)});
+    for (const json &Domain : Snapshot.at(4))
+      Items.emplace_back(routing::evacuation_started{
+          base::domain_name(Domain.get<std::string>())});
+    const bool WasLost = StoreLost;
+    StoreLost = false;
+    replaceAll(Items, Snapshot.at(1), Seen);
+    StoreLost = WasLost;
+    return true;
+  } catch (const json::exception &Failure) {
+    SKYLARKDYKE_LOG(WARNING, PeerMessageRefused) << Failure.what();
+    return false;
+  }
+}
+
+} // namespace skylarkdyke::gateway::detail
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,329 @@
+#include "skylarkdyke/gateway/gateway.hpp"
+
+#include "gateway/detail/exchange.hpp"
+#include "gateway/detail/mesh_link.hpp"
+#include "gateway/detail/steering_state.hpp"
+#include "gateway/detail/target_pool.hpp"
+#include "skylarkdyke/base/event.hpp"
+#include "skylarkdyke/membership/member_table.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <unistd.h>
+
+namespace skylarkdyke::gateway {
+
+namespace bhttp = boost::beast::http;
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+/// Period of housekeeping: heartbeats, expiry, shares.
+static constexpr milliseconds TickPeriod{250};
+/// Time for which callers keep a directory answer.
+static constexpr milliseconds DirectoryTtl{2000};
+/// Callers may keep a directory answer this many times longer.
+static constexpr int LongestTtlFactor = 3;
+/// Most entries in a directory answer.
+static constexpr std::size_t MaxDirectoryEntries = 64;
+/// Descriptors kept free for targets, the store and files.
+static constexpr std::size_t ReservedDescriptors = 1200;
+static constexpr std::size_t MaxControlConnections = 400;
+/// Part of the grace after which new connections are refused in a stop, and
+/// part at which the last answers are given.
+static constexpr double AcceptShareOfGrace = 0.5;
+static constexpr double AnswerShareOfGrace = 0.93;
+/// Addresses of other entries in each heartbeat.
+static constexpr std::size_t KnownInHeartbeat = 4;
+
+struct gateway::impl {
+  impl(boost::asio::io_context &Loop, gateway_settings Given,
+       caller_protocol Protocol, change_source &Source,
+       configuration_decoder Decoder);
+
+  bool start();
+  void stop();
+  void tick();
+  void updateShares(base::boot_time Now);
+  bool isReady() const { return State.isComplete() && !Stopping; }
+  membership::entry_status ownStatus();
+  void onReadinessRequest(const std::shared_ptr<net::pending_request> &Request);
+  void onDirectoryRequest(const std::shared_ptr<net::pending_request> &Request);
+  void onMetricsRequest(const std::shared_ptr<net::pending_request> &Request);
+  net::http_response directoryAnswer(const directory_question &Question);
+  net::server_limits callerLimits() const;
+  std::size_t maxCallers() const;
+  void stopStep();
+
+  boost::asio::io_context &Loop;
+  gateway_settings Settings;
+  caller_protocol Protocol;
+  change_source &Source;
+  std::uint64_t Incarnation = base::drawIncarnation().Value;
+  placement::target_book Book;
+  placement::placer Placer;
+  admission::retry_allowance Retries;
+  metrics::registry Metrics;
+  telemetry::decision_log Log;
+  detail::steering_state State;
+  detail::target_pool Pool;
+  detail::steering_context Context;
+  membership::member_table Members;
+  detail::mesh_link Mesh;
+  net::http_server Front;
+  net::http_server Readiness;
+  net::http_server Directory;
+  net::http_server MetricsPage;
+  boost::asio::steady_timer Timer;
+  boost::asio::steady_timer StopTimer;
+  bool Stopping = false;
+  bool AcceptEnded = false;
+  bool WasReady = false;
+  base::boot_time StopAcceptAt{};
+  std::uint64_t SkippedTo = 0;
+};
+
+static net::server_limits controlLimits() { return net::server_limits(); }
+
+gateway::impl::impl(boost::asio::io_context &Loop, gateway_settings Given,
+                    caller_protocol GivenProtocol, change_source &Source,
+                    configuration_decoder Decoder)
+    : Loop(Loop), Settings(std::move(Given)),
+      Protocol(std::move(GivenProtocol)), Source(Source),
+      Book(Settings.RegionOf), Placer(Book, Settings.Region, Settings.Name),
+      Retries(Settings.RetryBound), Log(STDOUT_FILENO, Settings.Name),
+      State(Book, std::move(Decoder), Settings.RecordReturnTime,
+            [] { return base::boot_clock::now(); }),
+      Pool(Loop), Context{Loop,  Protocol.Headers, State,   Book,
+                          Placer, Pool,            Retries, Metrics,
+                          Log,    {},              {},      1,
+                          {},     0},
+      Members(Settings.Mesh),
+      Mesh(
+          Loop, State, Members, Settings.Mesh, [this] { return ownStatus(); },
+          [this] { updateShares(base::boot_clock::now()); }),
+      Front(
+          Loop, maxCallers(), [this] { return callerLimits(); },
+          [this](std::shared_ptr<net::pending_request> Request) {
+            detail::exchange::start(Context, std::move(Request));
+          }),
+      Readiness(Loop, MaxControlConnections, controlLimits,
+                [this](const std::shared_ptr<net::pending_request> &Request) {
+                  onReadinessRequest(Request);
+                }),
+      Directory(Loop, MaxControlConnections, controlLimits,
+                [this](const std::shared_ptr<net::pending_request> &Request) {
+                  onDirectoryRequest(Request);
+                }),
+      MetricsPage(Loop, MaxControlConnections, controlLimits,
+                  [this](const std::shared_ptr<net::pending_request> &Request) {
+                    onMetricsRequest(Request);
+                  }),
+      Timer(Loop), StopTimer(Loop) {}
+
+std::size_t gateway::impl::maxCallers() const {
+  return Settings.MaxDescriptors > 2 * ReservedDescriptors
+             ? Settings.MaxDescriptors - ReservedDescriptors
+             : Settings.MaxDescriptors / 2;
+}
+
+net::server_limits gateway::impl::callerLimits() const {
+  net::server_limits Limits;
+  if (!State.routes())
+    return Limits;
+  const routing::caller_limits &Given = State.routes()->limits();
+  Limits.MaxHeaderBytes = Given.MaxHeaderBytes;
+  Limits.MaxBodyBytes = Given.MaxBodyBytes;
+  Limits.HeaderTimeout = Given.HeaderTimeout;
+  Limits.IdleTimeout = Given.IdleTimeout;
+  return Limits;
+}
+
+bool gateway::impl::start() {
+  const auto Now = base::boot_clock::now();
+  State.setEntryHook([this](const base::endpoint &Mesh) {
+    Members.addAddress(Mesh, base::boot_clock::now());
+  });
+  for (const base::endpoint &Seed : Settings.Seeds)
+    Members.addAddress(Seed, Now);
+  if (!Mesh.start() || !Front.listen(Settings.Front))
+    return false;
+  if (Settings.Readiness && !Readiness.listen(*Settings.Readiness))
+    return false;
+  if (Settings.Directory && !Directory.listen(*Settings.Directory))
+    return false;
+  if (Settings.Metrics && !MetricsPage.listen(*Settings.Metrics))
+    return false;
+  SKYLARKDYKE_DECISION(Log, EntryStarted, Now,
+                       {{"incarnation", static_cast<std::int64_t>(Incarnation)},
+                        {"front", base::toString(Settings.Front)}});
+  Source.start(State, Settings.Name, Settings.Mesh);
+  tick();
+  return true;
+}
+
+membership::entry_status gateway::impl::ownStatus() {
+  const auto Now = base::boot_clock::now();
+  membership::entry_status Status;
+  Status.Name = Settings.Name;
+  Status.Incarnation = Incarnation;
+  Status.Domain = Settings.Domain;
+  Status.Mesh = Settings.Mesh;
+  Status.Front = Settings.Front;
+  Status.Ready = isReady();
+  Status.Leaving = Stopping;
+  Status.ConfigurationVersion = State.routes() ? State.routes()->version() : 0;
+  Status.ChangeRevision = State.changeRevision();
+  Status.Demand = Context.Demand.rates(Now);
+  Status.Known = Members.sample(KnownInHeartbeat, Now);
+  return Status;
+}
+
+/// Shares the common bounds among the live entries and sums up their demand.
+void gateway::impl::updateShares(base::boot_time Now) {
+  std::vector<std::string> Names{Settings.Name};
+  std::map<std::string, std::map<base::region_name, double>> Demand;
+  for (const auto &[Service, Rate] : Context.Demand.rates(Now))
+    Demand[Service][Settings.Region] += Rate;
+  for (const auto *Member : Members.live(Now)) {
+    Names.push_back(Member->Status.Name);
+    const auto Region = Settings.RegionOf.find(Member->Status.Domain);
+    if (Region == Settings.RegionOf.end())
+      continue;
+    for (const auto &[Service, Rate] : Member->Status.Demand)
+      Demand[Service][Region->second] += Rate;
+  }
+  Context.Entries = static_cast<unsigned>(Names.size());
+  Placer.setEntries(std::move(Names));
+  for (auto &[Service, ByRegion] : Demand)
+    Placer.setDemand(base::service_name(Service), std::move(ByRegion));
+}
+
+void gateway::impl::tick() {
+  const auto Now = base::boot_clock::now();
+  if (!WasReady && isReady()) {
+    WasReady = true;
+    SKYLARKDYKE_DECISION(
+        Log, EntryReady, Now,
+        {{"config_version",
+          static_cast<std::int64_t>(State.routes()->version())},
+         {"targets", static_cast<std::int64_t>(Book.size())}});
+    Mesh.announceNow(Now);
+  }
+  Mesh.tick(Now);
+  if (State.seenRevision() > SkippedTo) {
+    SkippedTo = State.seenRevision();
+    Source.skipTo(SkippedTo);
+  }
+  Book.sweep(Now);
+  Pool.sweep(Now);
+  updateShares(Now);
+  Log.flush();
+  Timer.expires_after(TickPeriod);
+  Timer.async_wait([this](const boost::system::error_code &Result) {
+    if (!Result)
+      tick();
+  });
+}
+
+void gateway::impl::onReadinessRequest(
+    const std::shared_ptr<net::pending_request> &Request) {
+  if (Request->request().target() != Protocol.ReadinessPath)
+    return Request->answer(net::makeResponse(404));
+  Request->answer(net::makeResponse(isReady() ? 200 : 503));
+}
+
+void gateway::impl::onDirectoryRequest(
+    const std::shared_ptr<net::pending_request> &Request) {
+  const auto Question =
+      Protocol.ReadQuestion(std::string(Request->request().target()));
+  Request->answer(Question ? directoryAnswer(*Question)
+                           : net::makeResponse(404));
+}
+
+net::http_response
+gateway::impl::directoryAnswer(const directory_question &Question) {
+  std::vector<membership::entry_status> Ready;
+  if (isReady())
+    Ready.push_back(ownStatus());
+  for (const auto *Member : Members.live(base::boot_clock::now()))
+    if (Member->Status.Ready && !Member->Status.Leaving)
+      Ready.push_back(Member->Status);
+  std::vector<base::region_name> Allowed;
+  if (State.routes())
+    for (const routing::route *Route : State.routes()->routesOf(Question.Host))
+      if (!Route->AllowedRegions.empty())
+        Allowed = Route->AllowedRegions;
+  const auto Entries = membership::entriesForCaller(
+      Ready, Settings.RegionOf, Question.Region, Allowed, MaxDirectoryEntries);
+  if (Entries.empty())
+    return net::makeResponse(503, "no entry is ready\n");
+  const auto Ttl = std::min(DirectoryTtl, Settings.MaxDirectoryTtl);
+  return net::makeResponse(200, Protocol.WriteDirectoryAnswer(Entries, Ttl),
+                           "application/json");
+}
+
+void gateway::impl::onMetricsRequest(
+    const std::shared_ptr<net::pending_request> &Request) {
+  if (Request->request().target() != Protocol.MetricsPath)
+    return Request->answer(net::makeResponse(404));
+  Metrics.gauge("skylarkdyke_entries", "Live entries, this one included")
+      .set(Context.Entries);
+  Metrics.gauge("skylarkdyke_targets", "Targets known")
+      .set(static_cast<double>(Book.size()));
+  Metrics.gauge("skylarkdyke_config_version", "Configuration in force")
+      .set(State.routes() ? static_cast<double>(State.routes()->version()) : 0);
+  Request->answer(net::makeResponse(200, Metrics.render()));
+}
+
+void gateway::impl::stop() {
+  if (Stopping)
+    return;
+  Stopping = true;
+  const auto Now = base::boot_clock::now();
+  SKYLARKDYKE_DECISION(
+      Log, EntryLeaving, Now,
+      {{"running", static_cast<std::int64_t>(Context.Running)}});
+  Mesh.announceNow(Now);
+  Front.drain();
+  const auto Share = [this](double Part) {
+    return std::chrono::duration_cast<milliseconds>(Settings.StopGrace * Part);
+  };
+  StopAcceptAt = Now + Share(AcceptShareOfGrace);
+  Context.StopBy = Now + Share(AnswerShareOfGrace);
+  stopStep();
+}
+
+void gateway::impl::stopStep() {
+  const auto Now = base::boot_clock::now();
+  if (!AcceptEnded && Now >= StopAcceptAt) {
+    AcceptEnded = true;
+    Front.stopAccepting();
+  }
+  const bool Drained =
+      AcceptEnded && Context.Running == 0 && Front.busy() == 0;
+  if (Drained || Now >= *Context.StopBy + 100ms) {
+    SKYLARKDYKE_DECISION(
+        Log, EntryStopped, Now,
+        {{"running", static_cast<std::int64_t>(Context.Running)}});
+    Log.flush();
+    Source.stop();
+    Loop.stop();
+    return;
+  }
+  StopTimer.expires_after(50ms);
+  StopTimer.async_wait([this](const boost::system::error_code &Result) {
+    if (!Result)
+      stopStep();
+  });
+}
+
+gateway::gateway(boost::asio::io_context &Loop, gateway_settings Settings,
+                 caller_protocol Protocol, change_source &Source,
+                 configuration_decoder Decoder)
+    : Impl(std::make_unique<impl>(Loop, std::move(Settings),
+                                  std::move(Protocol), Source,
+                                  std::move(Decoder))) {}
+gateway::~gateway() = default;
+bool gateway::start() { return Impl->start(); }
+void gateway::stop() { Impl->stop(); }
+
+} // namespace skylarkdyke::gateway
--- /dev/null
+++ b/src/membership/member_table.cpp
@@ -0,0 +1,159 @@
+#include "skylarkdyke/membership/member_table.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace skylarkdyke::membership {
+
+using nlohmann::json;
+
+/// First element of each message; other versions are ignored.
+static constexpr int MessageVersion = 1;
+
+std::string encode(const entry_status &Status) {
+  json Known = json::array();
+  for (const base::endpoint &Address : Status.Known)
+    Known.push_back(base::toString(Address));
+  const json Message = {MessageVersion,
+                        Status.Name,
+                        Status.Incarnation,
+                        Status.Domain.str(),
+                        base::toString(Status.Mesh),
+                        base::toString(Status.Front),
+                        Status.Ready,
+                        Status.Leaving,
+                        Status.ConfigurationVersion,
+                        Status.ChangeRevision,
+                        Status.Demand,
+                        Known};
+  std::string Bytes;
+  json::to_cbor(Message, Bytes);
+  return Bytes;
+}
+
+static entry_status statusOf(const json &Message) {
+  const auto Address = [&Message](std::size_t At) {
+    return base::parseEndpoint(Message.at(At).get<std::string>())
+        .value_or(base::endpoint());
+  };
+  entry_status Status;
+  Status.Name = Message.at(1);
+  Status.Incarnation = Message.at(2);
+  Status.Domain = base::domain_name(Message.at(3).get<std::string>());
+  Status.Mesh = Address(4);
+  Status.Front = Address(5);
+  Status.Ready = Message.at(6);
+  Status.Leaving = Message.at(7);
+  Status.ConfigurationVersion = Message.at(8);
+  Status.ChangeRevision = Message.at(9);
+  Status.Demand = Message.at(10).get<std::map<std::string, double>>();
+  for (const json &Item : Message.at(11))
+    if (const auto Known = base::parseEndpoint(Item.get<std::string>()))
+      Status.Known.push_back(*Known);
+  return Status;
+}
+
+std::optional<entry_status> decodeStatus(const std::string &Bytes) {
+  const json Message = json::from_cbor(Bytes, true, false);
+  if (!Message.is_array() || Message.size() < 12 ||
+      Message[0] != MessageVersion)
+    return std::nullopt;
+  try {
+    entry_status Status = statusOf(Message);
+    if (Status.Mesh.Port == 0)
+      return std::nullopt;
+    return Status;
+  } catch (const json::exception &) {
+    return std::nullopt;
+  }
+}
+
+member_table::member_table(base::endpoint OwnMesh)
+    : OwnMesh(std::move(OwnMesh)) {}
+
+void member_table::addAddress(const base::endpoint &Mesh, base::boot_time Now) {
+  if (!(Mesh == OwnMesh))
+    Contacts.emplace(Mesh, contact{Now, Now});
+}
+
+bool member_table::hear(const entry_status &Status, base::boot_time Now) {
+  if (Status.Mesh == OwnMesh)
+    return false;
+  addAddress(Status.Mesh, Now);
+  Contacts.at(Status.Mesh).HeardAt = Now;
+  for (const base::endpoint &Known : Status.Known)
+    addAddress(Known, Now);
+  const auto Found = Members.find(Status.Name);
+  const bool IsNew =
+      Found == Members.end() ||
+      Found->second.Status.Incarnation != Status.Incarnation ||
+      Now - Found->second.HeardAt > SilenceLimit;
+  Members[Status.Name] = {Status, Now};
+  return IsNew;
+}
+
+std::vector<base::endpoint> member_table::due(base::boot_time Now) {
+  std::vector<base::endpoint> Due;
+  for (auto It = Contacts.begin(); It != Contacts.end();) {
+    contact &Contact = It->second;
+    const auto SilentSince = std::max(Contact.HeardAt, Contact.AddedAt);
+    if (Now - SilentSince > ForgetAfter) {
+      It = Contacts.erase(It);
+      continue;
+    }
+    if (Contact.NextAt <= Now) {
+      Due.push_back(It->first);
+      const bool Live = Now - SilentSince <= 3 * SilenceLimit;
+      Contact.NextAt = Now + (Live ? HeartbeatPeriod : ProbePeriod);
+    }
+    ++It;
+  }
+  return Due;
+}
+
+std::vector<const member_table::member *>
+member_table::live(base::boot_time Now) const {
+  std::vector<const member *> Live;
+  for (const auto &[Name, Member] : Members)
+    if (Now - Member.HeardAt <= SilenceLimit)
+      Live.push_back(&Member);
+  return Live;
+}
+
+std::vector<base::endpoint> member_table::sample(std::size_t Count,
+                                                 base::boot_time Now) const {
+  std::vector<base::endpoint> Sample;
+  for (const member *Member : live(Now))
+    if (Sample.size() < Count)
+      Sample.push_back(Member->Status.Mesh);
+  return Sample;
+}
+
+std::vector<base::endpoint> entriesForCaller(
+    const std::vector<entry_status> &Ready,
+    const std::map<base::domain_name, base::region_name> &RegionOf,
+    const base::region_name &CallerRegion,
+    const std::vector<base::region_name> &Allowed, std::size_t Limit) {
+  const auto Collect = [&](auto IsWanted) {
+    std::vector<base::endpoint> Found;
+    for (const entry_status &Entry : Ready) {
+      const auto Region = RegionOf.find(Entry.Domain);
+      if (Region != RegionOf.end() && IsWanted(Region->second) &&
+          Found.size() < Limit)
+        Found.push_back(Entry.Front);
+    }
+    return Found;
+  };
+  auto Found = Collect([&](const base::region_name &Region) {
+    return Region == CallerRegion;
+  });
+  if (Found.empty())
+    Found = Collect([&](const base::region_name &Region) {
+      return Allowed.empty() ||
+             std::find(Allowed.begin(), Allowed.end(), Region) !=
+                 Allowed.end();
+    });
+  return Found;
+}
+
+} // namespace skylarkdyke::membership
--- /dev/null
+++ b/src/net/http_channel.cpp
@@ -0,0 +1,276 @@
+#include "skylarkdyke/net/http_channel.hpp"
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <cstdlib>
+#include <netinet/tcp.h>
+#include <optional>
+#include <sys/socket.h>
+
+namespace skylarkdyke::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+/// Largest response that is read.
+static constexpr std::size_t MaxResponseBytes = 64U << 20U;
+/// A peer that acknowledges nothing for this long is taken for silent.
+static constexpr std::chrono::milliseconds SilenceLimit{1500};
+/// Part of the announced keep-alive time after which a connection is no longer
+/// used, so that a request does not cross the peer's close.
+static constexpr double KeepAliveShare = 0.8;
+/// Keep-alive time assumed where the peer announces none.
+static constexpr std::chrono::seconds DefaultKeepAlive{4};
+
+const char *toString(channel_fault Fault) {
+  switch (Fault) {
+  case channel_fault::ConnectRefused:
+    return "connect_refused";
+  case channel_fault::ConnectTimeout:
+    return "connect_timeout";
+  case channel_fault::ClosedBeforeResponse:
+    return "closed_before_response";
+  case channel_fault::Truncated:
+    return "truncated";
+  case channel_fault::Malformed:
+    return "malformed";
+  case channel_fault::DeadlinePassed:
+    return "deadline_passed";
+  case channel_fault::Cancelled:
+    return "cancelled";
+  }
+  return "unknown_fault";
+}
+
+void limitSilence(int Socket, std::chrono::milliseconds Limit) {
+  const auto Millis = static_cast<unsigned>(Limit.count());
+  setsockopt(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &Millis, sizeof(Millis));
+}
+
+struct http_channel::impl {
+  using parser = beast::http::response_parser<beast::http::string_body>;
+
+  impl(asio::io_context &Loop, const base::endpoint &Peer)
+      : Loop(Loop), Socket(Loop), Timer(Loop), Peer(Peer) {}
+
+  void startConnect(const std::shared_ptr<http_channel> &Self);
+  void startExchange(const std::shared_ptr<http_channel> &Self);
+  void readResponse(const std::shared_ptr<http_channel> &Self);
+  void onResponse(const std::shared_ptr<http_channel> &Self,
+                  const error_code &Failure);
+  void setTimer(const std::shared_ptr<http_channel> &Self,
+                base::boot_time Until, channel_fault Fault);
+  void fail(channel_fault Fault);
+  void finish(call_result Result);
+  void closeSocket() {
+    error_code Ignored;
+    Socket.close(Ignored);
+    Open = false;
+  }
+
+  asio::io_context &Loop;
+  tcp::socket Socket;
+  asio::steady_timer Timer;
+  base::endpoint Peer;
+  beast::flat_buffer Buffer;
+  std::optional<parser> Parser;
+  http_request Request;
+  call_limits Limits{};
+  response_filter Filter;
+  handler OnDone;
+  /// Counts calls, so that handlers of an ended call are ignored.
+  unsigned Call = 0;
+  bool Open = false;
+  bool Reusable = false;
+  bool Written = false;
+  bool Sending = false;
+  bool ForeignBytes = false;
+  base::boot_time KeptUntil{};
+  std::chrono::nanoseconds ConnectTime{0};
+};
+
+http_channel::http_channel(std::unique_ptr<impl> Impl)
+    : Impl(std::move(Impl)) {}
+http_channel::~http_channel() = default;
+
+std::shared_ptr<http_channel>
+http_channel::create(asio::io_context &Loop, const base::endpoint &Peer) {
+  return std::shared_ptr<http_channel>(
+      new http_channel(std::make_unique<impl>(Loop, Peer)));
+}
+
+void http_channel::call(http_request Request, const call_limits &Limits,
+                        response_filter Filter, handler OnDone) {
+  impl &Conn = *Impl;
+  ++Conn.Call;
+  Conn.Request = std::move(Request);
+  Conn.Limits = Limits;
+  Conn.Filter = std::move(Filter);
+  Conn.OnDone = std::move(OnDone);
+  Conn.Reusable = false;
+  Conn.Written = false;
+  Conn.Sending = false;
+  const auto Self = shared_from_this();
+  if (Conn.Open)
+    Conn.startExchange(Self);
+  else
+    Conn.startConnect(Self);
+}
+
+void http_channel::impl::setTimer(const std::shared_ptr<http_channel> &Self,
+                                  base::boot_time Until, channel_fault Fault) {
+  Timer.expires_after(std::max<base::boot_clock::duration>(
+      Until - base::boot_clock::now(), std::chrono::milliseconds(0)));
+  Timer.async_wait([this, Self, Fault, Id = Call](const error_code &Result) {
+    if (!Result && Id == Call && OnDone)
+      fail(Fault);
+  });
+}
+
+void http_channel::impl::startConnect(
+    const std::shared_ptr<http_channel> &Self) {
+  error_code Failure;
+  Socket.open(tcp::v4(), Failure);
+  const auto Address = asio::ip::make_address(Peer.Address, Failure);
+  const auto Started = base::boot_clock::now();
+  setTimer(Self, std::min(Limits.ConnectBy, Limits.Deadline),
+           channel_fault::ConnectTimeout);
+  Socket.async_connect(
+      tcp::endpoint(Address, Peer.Port),
+      [this, Self, Started, Id = Call](const error_code &Result) {
+        if (Id != Call || !OnDone)
+          return;
+        if (Result)
+          return fail(channel_fault::ConnectRefused);
+        Open = true;
+        ConnectTime = base::boot_clock::now() - Started;
+        error_code Ignored;
+        Socket.set_option(tcp::no_delay(true), Ignored);
+        limitSilence(Socket.native_handle(), SilenceLimit);
+        startExchange(Self);
+      });
+}
+
+void http_channel::impl::startExchange(
+    const std::shared_ptr<http_channel> &Self) {
+  Sending = true;
+  setTimer(Self, Limits.Deadline, channel_fault::DeadlinePassed);
+  // A write error is not final: the peer may have answered before it closed.
+  beast::http::async_write(
+      Socket, Request,
+      [this, Self, Id = Call](const error_code &Result, std::size_t) {
+        if (Id == Call && !Result)
+          Written = true;
+      });
+  readResponse(Self);
+}
+
+void http_channel::impl::readResponse(
+    const std::shared_ptr<http_channel> &Self) {
+  Parser.emplace();
+  Parser->body_limit(MaxResponseBytes);
+  if (Request.method() == beast::http::verb::head)
+    Parser->skip(true);
+  beast::http::async_read(
+      Socket, Buffer, *Parser,
+      [this, Self, Id = Call](const error_code &Result, std::size_t) {
+        if (Id == Call && OnDone)
+          onResponse(Self, Result);
+      });
+}
+
+/// Maps a Beast read error to a fault.
+static channel_fault faultOf(const error_code &Failure, bool GotSome) {
+  if (Failure == beast::http::error::end_of_stream)
+    return channel_fault::ClosedBeforeResponse;
+  if (Failure == beast::http::error::partial_message)
+    return channel_fault::Truncated;
+  if (Failure.category() ==
+      beast::http::make_error_code(beast::http::error::bad_version).category())
+    return channel_fault::Malformed;
+  return GotSome ? channel_fault::Truncated
+                 : channel_fault::ClosedBeforeResponse;
+}
+
+/// Time for which the peer keeps an idle connection open, in whole seconds.
+static std::chrono::seconds keepAliveOf(const http_response &Response) {
+  const auto Value = Response[beast::http::field::keep_alive];
+  const std::size_t At = Value.find("timeout=");
+  if (At == beast::string_view::npos)
+    return DefaultKeepAlive;
+  const std::string Number(Value.substr(At + 8));
+  return std::chrono::seconds(std::strtol(Number.c_str(), nullptr, 10));
+}
+
+void http_channel::impl::onResponse(const std::shared_ptr<http_channel> &Self,
+                                    const error_code &Failure) {
+  if (Failure || !Parser->is_done())
+    return fail(faultOf(Failure, Parser->is_header_done() || Parser->got_some()));
+  const bool KeepAlive = Parser->keep_alive();
+  http_response Response = Parser->release();
+  const bool Interim = Response.result_int() < 200;
+  if (Interim || !Filter(Response)) {
+    ForeignBytes = ForeignBytes || !Interim;
+    if (!KeepAlive)
+      return fail(channel_fault::ClosedBeforeResponse);
+    return readResponse(Self);
+  }
+  Reusable = KeepAlive && Written && Buffer.size() == 0;
+  ForeignBytes = ForeignBytes || Buffer.size() != 0;
+  if (Reusable)
+    KeptUntil = base::boot_clock::now() +
+                std::chrono::duration_cast<std::chrono::nanoseconds>(
+                    keepAliveOf(Response) * KeepAliveShare);
+  else
+    closeSocket();
+  finish(std::move(Response));
+}
+
+void http_channel::impl::fail(channel_fault Fault) {
+  closeSocket();
+  finish(channel_error{Fault, !Sending});
+}
+
+void http_channel::impl::finish(call_result Result) {
+  ++Call;
+  Timer.cancel();
+  const handler Handler = std::move(OnDone);
+  OnDone = nullptr;
+  Handler(std::move(Result));
+}
+
+void http_channel::cancel() {
+  if (Impl->OnDone)
+    Impl->fail(channel_fault::Cancelled);
+}
+
+void http_channel::close() {
+  cancel();
+  Impl->closeSocket();
+}
+
+bool http_channel::isReusable(base::boot_time Now) const {
+  if (!Impl->Open || !Impl->Reusable || Now >= Impl->KeptUntil)
+    return false;
+  // A readable idle connection holds either the peer's close or bytes that
+  // belong to no request.
+  char Byte = 0;
+  return recv(Impl->Socket.native_handle(), &Byte, 1,
+              MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+bool http_channel::sawForeignBytes() const { return Impl->ForeignBytes; }
+std::chrono::nanoseconds http_channel::connectTime() const {
+  return Impl->ConnectTime;
+}
+
+} // namespace skylarkdyke::net
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,381 @@
+#include "skylarkdyke/net/http_server.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <glog/logging.h>
+#include <optional>
+#include <sys/socket.h>
+#include <unordered_set>
+
+namespace skylarkdyke::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+/// A caller that acknowledges nothing for this long is taken for gone.
+static constexpr std::chrono::milliseconds CallerSilenceLimit{5000};
+/// Pause after a failed accept, for example without free descriptors.
+static constexpr std::chrono::milliseconds AcceptPause{50};
+/// Longest time for which a caller may take its answer or send its body.
+static constexpr std::chrono::seconds TransferTimeout{30};
+
+http_response makeResponse(unsigned Status, std::string Body,
+                           const char *ContentType) {
+  http_response Response(static_cast<bhttp::status>(Status), 11);
+  if (!Body.empty())
+    Response.set(bhttp::field::content_type, ContentType);
+  Response.body() = std::move(Body);
+  return Response;
+}
+
+namespace {
+class session;
+} // namespace
+
+struct http_server::impl : std::enable_shared_from_this<http_server::impl> {
+  impl(asio::io_context &Loop, std::size_t MaxConnections,
+       std::function<server_limits()> Limits, handler OnRequest)
+      : Loop(Loop), Acceptor(Loop), Pause(Loop), MaxConnections(MaxConnections),
+        Limits(std::move(Limits)), OnRequest(std::move(OnRequest)) {}
+
+  void accept();
+  void onAccept(const error_code &Failure, tcp::socket Socket);
+
+  asio::io_context &Loop;
+  tcp::acceptor Acceptor;
+  asio::steady_timer Pause;
+  std::size_t MaxConnections;
+  std::function<server_limits()> Limits;
+  handler OnRequest;
+  std::unordered_set<session *> Sessions;
+  std::size_t Busy = 0;
+  bool Draining = false;
+  bool Stopped = false;
+};
+
+namespace {
+
+/// One connection of a caller. It reads one request at a time.
+class session : public pending_request,
+                public std::enable_shared_from_this<session> {
+public:
+  session(std::shared_ptr<http_server::impl> Owner, tcp::socket Socket)
+      : Server(std::move(Owner)), Socket(std::move(Socket)),
+        Timer(Server->Loop) {
+    Server->Sessions.insert(this);
+  }
+  ~session() override {
+    setBusy(false);
+    Server->Sessions.erase(this);
+  }
+
+  void start() {
+    error_code Ignored;
+    Socket.set_option(tcp::no_delay(true), Ignored);
+    limitSilence(Socket.native_handle(), CallerSilenceLimit);
+    awaitRequest();
+  }
+
+  void closeIfIdle() {
+    if (!IsBusy)
+      closeSocket();
+  }
+
+  const http_request &request() const override { return Request; }
+  base::boot_time arrivedAt() const override { return ArrivedAt; }
+  void onCallerGone(std::function<void()> Hook) override {
+    GoneHook = std::move(Hook);
+  }
+  void answer(http_response Response) override;
+  void abandon() override;
+
+private:
+  void awaitRequest();
+  void readHeader();
+  void onHeader(const error_code &Failure);
+  void readBody();
+  void onBody(const error_code &Failure);
+  void watchCaller();
+  void onReadable();
+  void refuse(const error_code &Failure);
+  void write(bool Close);
+  void finishWrite(const error_code &Failure, bool Close);
+  void setTimer(std::chrono::nanoseconds After);
+
+  void closeSocket() {
+    error_code Ignored;
+    Timer.cancel();
+    Socket.shutdown(tcp::socket::shutdown_both, Ignored);
+    Socket.close(Ignored);
+  }
+  void setBusy(bool Now) {
+    if (Now == IsBusy)
+      return;
+    IsBusy = Now;
+    Server->Busy += Now ? 1 : -1;
+  }
+
+  using parser = bhttp::request_parser<bhttp::string_body>;
+
+  std::shared_ptr<http_server::impl> Server;
+  tcp::socket Socket;
+  asio::steady_timer Timer;
+  beast::flat_buffer Buffer;
+  std::optional<parser> Parser;
+  http_request Request;
+  http_response Response;
+  base::boot_time ArrivedAt{};
+  std::function<void()> GoneHook;
+  bool IsBusy = false;
+  bool Answerable = false;
+  bool PeerKeepsAlive = false;
+};
+
+void session::setTimer(std::chrono::nanoseconds After) {
+  Timer.expires_after(After);
+  Timer.async_wait([Self = weak_from_this()](const error_code &Result) {
+    const auto Session = Self.lock();
+    if (!Result && Session)
+      Session->closeSocket();
+  });
+}
+
+void session::awaitRequest() {
+  if (Server->Stopped)
+    return closeSocket();
+  setBusy(false);
+  if (Buffer.size() > 0)
+    return readHeader();
+  Buffer.shrink_to_fit();
+  setTimer(Server->Limits().IdleTimeout);
+  Socket.async_wait(tcp::socket::wait_read,
+                    [Self = shared_from_this()](const error_code &Result) {
+                      if (!Result)
+                        Self->readHeader();
+                    });
+}
+
+void session::readHeader() {
+  const server_limits Limits = Server->Limits();
+  Parser.emplace();
+  Parser->header_limit(static_cast<std::uint32_t>(Limits.MaxHeaderBytes));
+  Parser->body_limit(Limits.MaxBodyBytes);
+  setTimer(Limits.HeaderTimeout);
+  bhttp::async_read_header(
+      Socket, Buffer, *Parser,
+      [Self = shared_from_this()](const error_code &Result, std::size_t) {
+        Self->onHeader(Result);
+      });
+}
+
+void session::onHeader(const error_code &Failure) {
+  if (Failure)
+    return refuse(Failure);
+  setBusy(true);
+  if (Parser->is_done())
+    return onBody({});
+  if (!beast::iequals(Parser->get()[bhttp::field::expect], "100-continue"))
+    return readBody();
+  static const std::string Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+  asio::async_write(
+      Socket, asio::buffer(Continue),
+      [Self = shared_from_this()](const error_code &Result, std::size_t) {
+        if (!Result)
+          Self->readBody();
+      });
+}
+
+void session::readBody() {
+  setTimer(TransferTimeout);
+  bhttp::async_read(
+      Socket, Buffer, *Parser,
+      [Self = shared_from_this()](const error_code &Result, std::size_t) {
+        Self->onBody(Result);
+      });
+}
+
+void session::onBody(const error_code &Failure) {
+  if (Failure)
+    return refuse(Failure);
+  Timer.cancel();
+  PeerKeepsAlive = Parser->keep_alive();
+  Request = Parser->release();
+  ArrivedAt = base::boot_clock::now();
+  Answerable = true;
+  if (Request.count(bhttp::field::host) > 1)
+    return answer(makeResponse(400, "more than one Host header\n"));
+  watchCaller();
+  Server->OnRequest(shared_from_this());
+}
+
+void session::watchCaller() {
+  if (Buffer.size() > 0)
+    return;
+  Socket.async_wait(tcp::socket::wait_read,
+                    [Self = shared_from_this()](const error_code &Result) {
+                      if (!Result)
+                        Self->onReadable();
+                    });
+}
+
+void session::onReadable() {
+  if (!Answerable)
+    return;
+  char Byte = 0;
+  const ssize_t Count =
+      recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (Count > 0)
+    return; // The next request of the same caller.
+  if (Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+    return watchCaller();
+  Answerable = false;
+  setBusy(false);
+  closeSocket();
+  const auto Hook = std::move(GoneHook);
+  GoneHook = nullptr;
+  if (Hook)
+    Hook();
+}
+
+/// Answers a request that cannot be read, where the peer can still hear it.
+void session::refuse(const error_code &Failure) {
+  unsigned Status = 0;
+  if (Failure == bhttp::error::header_limit)
+    Status = 431;
+  else if (Failure == bhttp::error::body_limit)
+    Status = 413;
+  else if (Failure.category() ==
+               bhttp::make_error_code(bhttp::error::bad_version).category() &&
+           Failure != bhttp::error::end_of_stream &&
+           Failure != bhttp::error::partial_message)
+    Status = 400;
+  if (Status == 0)
+    return closeSocket();
+  PeerKeepsAlive = false;
+  Answerable = true;
+  answer(makeResponse(Status, "the request cannot be read\n"));
+}
+
+void session::answer(http_response Given) {
+  if (!Answerable)
+    return;
+  Answerable = false;
+  GoneHook = nullptr;
+  error_code Ignored;
+  Socket.cancel(Ignored);
+  Response = std::move(Given);
+  Response.version(11);
+  const bool Close = !PeerKeepsAlive || Server->Draining;
+  Response.keep_alive(!Close);
+  // The answer to HEAD carries the length of a body that is not sent.
+  if (Request.method() != bhttp::verb::head)
+    Response.prepare_payload();
+  write(Close);
+}
+
+void session::write(bool Close) {
+  setTimer(TransferTimeout);
+  const auto OnDone = [Self = shared_from_this(),
+                       Close](const error_code &Result, std::size_t) {
+    Self->finishWrite(Result, Close);
+  };
+  bhttp::async_write(Socket, Response, OnDone);
+}
+
+void session::finishWrite(const error_code &Failure, bool Close) {
+  Response.body().clear();
+  if (Failure || Close) {
+    setBusy(false);
+    return closeSocket();
+  }
+  awaitRequest();
+}
+
+void session::abandon() {
+  if (!Answerable)
+    return;
+  Answerable = false;
+  GoneHook = nullptr;
+  setBusy(false);
+  closeSocket();
+}
+
+} // namespace
+
+void http_server::impl::accept() {
+  if (Stopped)
+    return;
+  Acceptor.async_accept([Self = shared_from_this()](const error_code &Failure,
+                                                    tcp::socket Socket) {
+    Self->onAccept(Failure, std::move(Socket));
+  });
+}
+
+void http_server::impl::onAccept(const error_code &Failure,
+                                 tcp::socket Socket) {
+  if (Stopped)
+    return;
+  if (Failure) {
+    LOG(WARNING) << "cannot accept a connection: " << Failure.message();
+    Pause.expires_after(AcceptPause);
+    Pause.async_wait([Self = shared_from_this()](const error_code &) {
+      Self->accept();
+    });
+    return;
+  }
+  if (Sessions.size() < MaxConnections)
+    std::make_shared<session>(shared_from_this(), std::move(Socket))->start();
+  accept();
+}
+
+http_server::http_server(asio::io_context &Loop, std::size_t MaxConnections,
+                         std::function<server_limits()> Limits,
+                         handler OnRequest)
+    : Impl(std::make_shared<impl>(Loop, MaxConnections, std::move(Limits),
+                                  std::move(OnRequest))) {}
+
+http_server::~http_server() { stopAccepting(); }
+
+bool http_server::listen(const base::endpoint &Address) {
+  error_code Failure;
+  const auto Ip = asio::ip::make_address(Address.Address, Failure);
+  if (!Failure)
+    Impl->Acceptor.open(tcp::v4(), Failure);
+  if (!Failure)
+    Impl->Acceptor.set_option(tcp::acceptor::reuse_address(true), Failure);
+  if (!Failure)
+    Impl->Acceptor.bind(tcp::endpoint(Ip, Address.Port), Failure);
+  if (!Failure)
+    Impl->Acceptor.listen(tcp::acceptor::max_listen_connections, Failure);
+  if (Failure) {
+    LOG(ERROR) << "cannot listen on " << base::toString(Address) << ": "
+               << Failure.message();
+    return false;
+  }
+  Impl->accept();
+  return true;
+}
+
+void http_server::drain() { Impl->Draining = true; }
+
+void http_server::stopAccepting() {
+  Impl->Stopped = true;
+  error_code Ignored;
+  Impl->Acceptor.close(Ignored);
+  const std::vector<session *> Sessions(Impl->Sessions.begin(),
+                                        Impl->Sessions.end());
+  for (session *Session : Sessions)
+    Session->closeIfIdle();
+}
+
+std::size_t http_server::busy() const { return Impl->Busy; }
+
+} // namespace skylarkdyke::net
--- /dev/null
+++ b/src/placement/placer.cpp
@@ -0,0 +1,235 @@
+#include "skylarkdyke/placement/placer.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <xxhash.h>
+
+namespace skylarkdyke::placement {
+
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+
+/// Probability that a target is warm for an object although this entry has not
+/// sent it there lately, by its place in the object's order.
+static constexpr double FirstWarmChance = 0.8;
+static constexpr double SecondWarmChance = 0.3;
+static constexpr double OtherWarmChance = 0.1;
+/// Part of a region's surplus of objects that moves to other regions.
+static constexpr double GivenSurplus = 0.8;
+/// Largest part of a region's requests that changes regions per second.
+static constexpr double MaxShiftPerSecond = 0.03;
+/// Round trip assumed to another region before one was measured.
+static constexpr milliseconds AssumedRoundTrip{80};
+static constexpr double RoundTripWeight = 0.2;
+/// Requests per slot from which a target is taken for full.
+static constexpr double FullLoadPerSlot = 3.5;
+/// Shortest advice to a refused caller.
+static constexpr milliseconds ShortestRetryAfter{50};
+
+struct placer::candidate {
+  target_state *State;
+  double Order;
+  bool Warm = false;
+  double Load = 0;
+  nanoseconds Work{0};
+  nanoseconds Wait{0};
+  nanoseconds End{0};
+};
+
+std::uint64_t hashObject(const std::string &RouteName, std::string_view Key) {
+  return XXH3_64bits_withSeed(
+      Key.data(), Key.size(),
+      XXH3_64bits(RouteName.data(), RouteName.size()));
+}
+
+placer::placer(target_book &Book, base::region_name OwnRegion,
+               std::string OwnName)
+    : Book(Book), OwnRegion(std::move(OwnRegion)), OwnName(std::move(OwnName)),
+      Entries{this->OwnName} {}
+placer::~placer() = default;
+
+void placer::setEntries(std::vector<std::string> Names) {
+  Entries = std::move(Names);
+}
+
+void placer::setDemand(const base::service_name &Service,
+                       std::map<base::region_name, double> Given) {
+  Demand[Service] = std::move(Given);
+}
+
+nanoseconds placer::roundTrip(const base::region_name &Region) const {
+  const auto Found = RoundTrips.find(Region);
+  if (Found != RoundTrips.end())
+    return Found->second;
+  return Region == OwnRegion ? milliseconds(1) : AssumedRoundTrip;
+}
+
+void placer::learnRoundTrip(const base::target_id &Id, nanoseconds Time) {
+  const target_state *State = Book.find(Id);
+  if (State == nullptr || Time <= nanoseconds(0))
+    return;
+  const auto [It, IsNew] = RoundTrips.emplace(State->Region, Time);
+  if (!IsNew)
+    It->second += std::chrono::duration_cast<nanoseconds>(
+        RoundTripWeight * (Time - It->second));
+}
+
+static bool isAllowed(const routing::route &Route,
+                      const base::region_name &Region) {
+  const auto &Allowed = Route.AllowedRegions;
+  return Allowed.empty() ||
+         std::find(Allowed.begin(), Allowed.end(), Region) != Allowed.end();
+}
+
+region_balances placer::balancesOf(const placement_query &Query,
+                                   base::boot_time Now) const {
+  region_balances Balances;
+  for (const target_state *State : Book.targetsOf(Query.Service->Name)) {
+    if (!isAllowed(*Query.Route, State->Region))
+      continue;
+    region_balance &Balance = Balances[State->Region];
+    if (Book.takesWork(*State, Now))
+      Balance.Slots += State->Target.Slots;
+  }
+  const auto Known = Demand.find(Query.Service->Name);
+  for (auto &[Region, Balance] : Balances)
+    if (Known == Demand.end())
+      Balance.Demand = 1;
+    else if (Known->second.count(Region) != 0)
+      Balance.Demand = Known->second.at(Region);
+  return Balances;
+}
+
+base::region_name placer::homeRegion(const placement_query &Query,
+                                     base::boot_time Now) {
+  gradual_shares &Shares = SharesByRoute[Query.Route->Name];
+  Shares.approach(divideDemand(balancesOf(Query, Now), OwnRegion, GivenSurplus),
+                  MaxShiftPerSecond, Now);
+  // Another part of the hash than the one that orders the targets.
+  return Shares.regionOf(OwnRegion,
+                         XXH3_64bits(&Query.ObjectHash, sizeof(std::uint64_t)));
+}
+
+bool placer::mayUseCold(const target_state &State,
+                        const routing::service &Service,
+                        base::boot_time Now) const {
+  if (State.ColdUntil <= Now)
+    return true;
+  // The tolerated rate is shared by few entries, at least one request per
+  // second each, so that their sum keeps it without messages.
+  const double Rate = std::max(Service.ColdRequestsPerSecond, 0.5);
+  const auto Users = static_cast<std::size_t>(std::clamp(
+      std::floor(Rate), 1.0, static_cast<double>(Entries.size())));
+  const auto OrderOf = [&State](const std::string &Name) {
+    return XXH3_64bits_withSeed(Name.data(), Name.size(), State.Seed);
+  };
+  const std::uint64_t Own = OrderOf(OwnName);
+  std::size_t Before = 0;
+  for (const std::string &Name : Entries)
+    Before += OrderOf(Name) > Own ? 1 : 0;
+  const std::chrono::duration<double> Interval(static_cast<double>(Users) /
+                                               Rate);
+  return Before < Users && Now - State.LastColdSend >= Interval;
+}
+
+std::vector<placer::candidate>
+placer::candidatesOf(const placement_query &Query,
+                     const base::region_name *Region,
+                     base::boot_time Now) const {
+  std::vector<candidate> Candidates;
+  for (target_state *State : Book.targetsOf(Query.Service->Name)) {
+    if (Region != nullptr && State->Region != *Region)
+      continue;
+    if (!Book.takesWork(*State, Now) ||
+        !isAllowed(*Query.Route, State->Region) ||
+        std::find(Query.Tried.begin(), Query.Tried.end(), State->Target.Id) !=
+            Query.Tried.end())
+      continue;
+    const std::uint64_t Hash = XXH3_64bits_withSeed(
+        &Query.ObjectHash, sizeof(std::uint64_t), State->Seed);
+    const double Point =
+        (static_cast<double>(Hash >> 11U) + 1) * std::ldexp(1.0, -53);
+    Candidates.push_back(
+        {State, -std::log(Point) / std::max(1U, State->Target.Slots)});
+  }
+  std::sort(Candidates.begin(), Candidates.end(),
+            [](const candidate &Left, const candidate &Right) {
+              return Left.Order < Right.Order;
+            });
+  return Candidates;
+}
+
+void placer::score(candidate &Candidate, std::size_t Rank,
+                   const placement_query &Query, base::boot_time Now) const {
+  const target_state &State = *Candidate.State;
+  Candidate.Warm = Work.isWarm(Query.ObjectHash, State.Seed, Now);
+  double Chance = OtherWarmChance;
+  if (Candidate.Warm)
+    Chance = 1;
+  else if (Rank == 0)
+    Chance = FirstWarmChance;
+  else if (Rank == 1)
+    Chance = SecondWarmChance;
+  Candidate.Load = Book.expectedLoad(State, Now);
+  const nanoseconds Plain = Work.expected(*Query.Route, Chance);
+  Candidate.Work =
+      std::chrono::duration_cast<nanoseconds>(Plain * State.Slowness);
+  const double Slots = std::max(1U, State.Target.Slots);
+  const double Ahead = std::max(0.0, Candidate.Load + 1 - Slots) / Slots;
+  Candidate.Wait = std::chrono::duration_cast<nanoseconds>(
+      Work.expected(*Query.Route, FirstWarmChance) * State.Slowness * Ahead);
+  Candidate.End = Candidate.Work + Candidate.Wait + roundTrip(State.Region);
+}
+
+placement_result placer::choose(const placement_query &Query,
+                                base::boot_time Now) {
+  const base::region_name Home = homeRegion(Query, Now);
+  std::vector<candidate> Candidates = candidatesOf(Query, &Home, Now);
+  if (Candidates.empty())
+    Candidates = candidatesOf(Query, nullptr, Now);
+  if (Candidates.empty())
+    return no_target{no_target_reason::NoTarget, ShortestRetryAfter};
+  const candidate *Best = nullptr;
+  const candidate *BestEjected = nullptr;
+  for (std::size_t Rank = 0; Rank < Candidates.size(); ++Rank) {
+    candidate &Candidate = Candidates[Rank];
+    const target_state &State = *Candidate.State;
+    if (!mayUseCold(State, *Query.Service, Now))
+      continue;
+    score(Candidate, Rank, Query, Now);
+    const bool Ejected = State.EjectedUntil > Now || State.ProbingBack;
+    const candidate *&Place = Ejected ? BestEjected : Best;
+    if (Place == nullptr || Candidate.End < Place->End)
+      Place = &Candidate;
+  }
+  if (Best == nullptr)
+    Best = BestEjected;
+  if (Best == nullptr)
+    return no_target{no_target_reason::NoRoom, ShortestRetryAfter};
+  const bool Full = Best->Load >= FullLoadPerSlot * Best->State->Target.Slots;
+  if (Full || Now + Best->End > Query.Deadline)
+    return no_target{no_target_reason::NoRoom,
+                     std::max<nanoseconds>(Best->Wait / 2, ShortestRetryAfter)};
+  return chosen_target{Best->State->Target.Id, Best->State->Target.Address,
+                       Best->Warm,             Best->Work,
+                       Best->Wait,             Best->Load};
+}
+
+void placer::learn(const placement_query &Query, const chosen_target &Chosen,
+                   nanoseconds Latency, base::boot_time Now) {
+  const target_state *State = Book.find(Chosen.Id);
+  if (State == nullptr)
+    return;
+  const nanoseconds Spent = std::max<nanoseconds>(
+      Latency - roundTrip(State->Region), nanoseconds(1));
+  if (Chosen.ExpectedWait == nanoseconds(0) && State->ColdUntil <= Now) {
+    Work.learn(Query.Route->Name, Chosen.Warm, Spent);
+    const double Expected = static_cast<double>(
+        Work.expected(*Query.Route, Chosen.Warm ? 1 : FirstWarmChance).count());
+    Book.learnPace(Chosen.Id,
+                   static_cast<double>(Spent.count()) / std::max(1.0, Expected));
+  }
+  Work.noteHandled(Query.ObjectHash, State->Seed, Now);
+}
+
+} // namespace skylarkdyke::placement
--- /dev/null
+++ b/src/placement/target_book.cpp
@@ -0,0 +1,222 @@
+#include "skylarkdyke/placement/target_book.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <xxhash.h>
+
+namespace skylarkdyke::placement {
+
+using std::chrono::milliseconds;
+
+/// Weight of the newest sample in moving averages.
+static constexpr double PaceWeight = 0.2;
+static constexpr double FailureWeight = 0.25;
+static constexpr double UsualLoadWeight = 0.1;
+/// Age at which a report of the load counts half against the usual load.
+static constexpr std::chrono::duration<double> LoadHalfLife{0.6};
+/// Share of failed sends from which a target gets no work for a while.
+static constexpr double EjectionShare = 0.4;
+static constexpr milliseconds FirstEjection{1000};
+static constexpr milliseconds LongestEjection{8000};
+/// Bounds of the pace, so that one odd sample cannot exclude a target.
+static constexpr double FastestPace = 0.3;
+static constexpr double SlowestPace = 20;
+
+static const std::vector<target_state *> NoTargets;
+
+target_book::target_book(std::map<base::domain_name, base::region_name> Given)
+    : RegionOf(std::move(Given)) {}
+
+bool target_book::publish(const routing::target &Target, base::boot_time Now) {
+  const auto Region = RegionOf.find(Target.Domain);
+  if (Region == RegionOf.end())
+    return false;
+  auto &State = States[Target.Id];
+  const bool IsNew = !State || State->Target.StartedAtMs != Target.StartedAtMs ||
+                     !(State->Target.Address == Target.Address);
+  if (IsNew) {
+    const unsigned InFlight = State ? State->InFlight : 0;
+    State = std::make_unique<target_state>();
+    State->InFlight = InFlight;
+    State->Seed = XXH3_64bits(Target.Id.str().data(), Target.Id.str().size());
+  }
+  State->Target = Target;
+  State->Region = Region->second;
+  State->RemovedAt.reset();
+  if (Target.ColdFor > milliseconds(0))
+    State->ColdUntil = Now + Target.ColdFor;
+  reindex();
+  return true;
+}
+
+void target_book::remove(const base::target_id &Id, base::boot_time At) {
+  const auto Found = States.find(Id);
+  if (Found != States.end() && !Found->second->RemovedAt)
+    Found->second->RemovedAt = At;
+}
+
+void target_book::removeOthers(const std::set<base::target_id> &Listed,
+                               base::boot_time At) {
+  for (const auto &[Id, State] : States)
+    if (Listed.count(Id) == 0)
+      remove(Id, At);
+}
+
+void target_book::sweep(base::boot_time Now) {
+  bool Changed = false;
+  for (auto It = States.begin(); It != States.end();) {
+    const target_state &State = *It->second;
+    // A removed target is kept while requests of this entry run there.
+    if (State.RemovedAt && *State.RemovedAt <= Now && State.InFlight == 0) {
+      It = States.erase(It);
+      Changed = true;
+    } else {
+      ++It;
+    }
+  }
+  if (Changed)
+    reindex();
+}
+
+void target_book::reindex() {
+  ByService.clear();
+  for (const auto &[Id, State] : States)
+    ByService[State->Target.Service].push_back(State.get());
+  for (auto &[Service, Targets] : ByService)
+    std::sort(Targets.begin(), Targets.end(),
+              [](const target_state *Left, const target_state *Right) {
+                return Left->Target.Id < Right->Target.Id;
+              });
+}
+
+void target_book::startEvacuation(const base::domain_name &Domain) {
+  Evacuated.insert(Domain);
+}
+
+void target_book::endEvacuation(const base::domain_name &Domain,
+                                milliseconds ColdTime, base::boot_time Now) {
+  if (Evacuated.erase(Domain) == 0)
+    return;
+  for (const auto &[Id, State] : States)
+    if (State->Target.Domain == Domain)
+      State->ColdUntil = std::max(State->ColdUntil, Now + ColdTime);
+}
+
+target_state *target_book::find(const base::target_id &Id) {
+  const auto Found = States.find(Id);
+  return Found == States.end() ? nullptr : Found->second.get();
+}
+
+const std::vector<target_state *> &
+target_book::targetsOf(const base::service_name &Service) const {
+  const auto Found = ByService.find(Service);
+  return Found == ByService.end() ? NoTargets : Found->second;
+}
+
+void target_book::beginSend(const base::target_id &Id, base::boot_time Now) {
+  target_state *State = find(Id);
+  if (State == nullptr)
+    return;
+  ++State->InFlight;
+  State->LastColdSend = Now;
+  if (State->FailuresInRow > 0)
+    State->ProbingBack = true;
+}
+
+void target_book::eject(target_state &State, base::boot_time Now) {
+  const unsigned Doublings = std::min(State.FailuresInRow, 4U);
+  const milliseconds Pause =
+      std::min(LongestEjection, FirstEjection * (1U << Doublings) / 2);
+  State.EjectedUntil = Now + Pause;
+}
+
+void target_book::endSend(const base::target_id &Id, send_result Result,
+                          milliseconds ColdTime, base::boot_time Now) {
+  target_state *State = find(Id);
+  if (State == nullptr)
+    return;
+  if (State->InFlight > 0)
+    --State->InFlight;
+  State->ProbingBack = false;
+  const auto CountFailure = [State](double Sample) {
+    State->FailureShare += FailureWeight * (Sample - State->FailureShare);
+  };
+  switch (Result) {
+  case send_result::Answered:
+    CountFailure(0);
+    State->FailuresInRow = 0;
+    if (State->LostContact) {
+      State->LostContact = false;
+      State->ColdUntil = std::max(State->ColdUntil, Now + ColdTime);
+    }
+    return;
+  case send_result::Cancelled:
+    return;
+  case send_result::WrongTarget:
+    State->WrongAddress = true;
+    return;
+  case send_result::Refused:
+    CountFailure(0.5);
+    return;
+  case send_result::Unreachable:
+    State->LostContact = true;
+    CountFailure(1);
+    ++State->FailuresInRow;
+    return eject(*State, Now);
+  case send_result::ErrorAnswer:
+  case send_result::Broken:
+  case send_result::TimedOut:
+    CountFailure(1);
+    if (State->FailureShare >= EjectionShare) {
+      ++State->FailuresInRow;
+      eject(*State, Now);
+    }
+    return;
+  }
+}
+
+void target_book::learnLoad(const base::target_id &Id,
+                            const reported_load &Load, base::boot_time Now) {
+  target_state *State = find(Id);
+  if (State == nullptr)
+    return;
+  const double Total = Load.Running + Load.Waiting;
+  State->OthersLoad = std::max(0.0, Total - State->InFlight);
+  State->UsualOthersLoad +=
+      UsualLoadWeight * (State->OthersLoad - State->UsualOthersLoad);
+  State->LoadKnownAt = Now;
+  if (Load.Slots > 0)
+    State->Target.Slots = Load.Slots;
+}
+
+void target_book::learnPace(const base::target_id &Id, double Ratio) {
+  target_state *State = find(Id);
+  if (State == nullptr)
+    return;
+  const double Sample = std::clamp(Ratio, FastestPace, SlowestPace);
+  State->Slowness += PaceWeight * (Sample - State->Slowness);
+}
+
+void target_book::learnCold(const base::target_id &Id, milliseconds ColdFor,
+                            base::boot_time Now) {
+  target_state *State = find(Id);
+  if (State != nullptr && ColdFor > milliseconds(0))
+    State->ColdUntil = Now + ColdFor;
+}
+
+bool target_book::takesWork(const target_state &State,
+                            base::boot_time Now) const {
+  return !State.Target.Draining && !State.WrongAddress &&
+         Evacuated.count(State.Target.Domain) == 0 &&
+         (!State.RemovedAt || *State.RemovedAt > Now);
+}
+
+double target_book::expectedLoad(const target_state &State,
+                                 base::boot_time Now) const {
+  const std::chrono::duration<double> Age = Now - State.LoadKnownAt;
+  const double Trust = std::exp2(-Age.count() / LoadHalfLife.count());
+  return State.InFlight + Trust * State.OthersLoad +
+         (1 - Trust) * State.UsualOthersLoad;
+}
+
+} // namespace skylarkdyke::placement
--- /dev/null
+++ b/src/routing/route_table.cpp
@@ -0,0 +1,58 @@
+#include "skylarkdyke/routing/route_table.hpp"
+
+#include <algorithm>
+#include <cctype>
+
+namespace skylarkdyke::routing {
+
+/// Host name without port, in lower case.
+static std::string normalizedHost(std::string_view Host) {
+  const std::size_t Colon = Host.rfind(':');
+  if (Colon != std::string_view::npos)
+    Host = Host.substr(0, Colon);
+  std::string Name(Host);
+  std::transform(Name.begin(), Name.end(), Name.begin(),
+                 [](unsigned char Char) { return std::tolower(Char); });
+  return Name;
+}
+
+static bool startsWith(std::string_view Text, std::string_view Prefix) {
+  return Text.substr(0, Prefix.size()) == Prefix;
+}
+
+route_table::route_table(configuration Given)
+    : Configuration(std::move(Given)) {
+  for (const route &Route : Configuration.Routes)
+    RoutesByHost[normalizedHost(Route.Host)].push_back(&Route);
+  for (auto &[Host, Routes] : RoutesByHost)
+    std::stable_sort(Routes.begin(), Routes.end(),
+                     [](const route *Left, const route *Right) {
+                       return Left->PathPrefix.size() >
+                              Right->PathPrefix.size();
+                     });
+  for (const service &Service : Configuration.Services)
+    ServiceByName[Service.Name] = &Service;
+}
+
+const route *route_table::match(std::string_view Host,
+                                std::string_view Target) const {
+  const std::string_view Path = Target.substr(0, Target.find('?'));
+  for (const route *Route : routesOf(Host))
+    if (startsWith(Path, Route->PathPrefix))
+      return Route;
+  return nullptr;
+}
+
+const std::vector<const route *> &
+route_table::routesOf(std::string_view Host) const {
+  static const std::vector<const route *> None;
+  const auto Found = RoutesByHost.find(normalizedHost(Host));
+  return Found == RoutesByHost.end() ? None : Found->second;
+}
+
+const service *route_table::findService(const base::service_name &Name) const {
+  const auto Found = ServiceByName.find(Name);
+  return Found == ServiceByName.end() ? nullptr : Found->second;
+}
+
+} // namespace skylarkdyke::routing
