Refuse requests of unmeasured routes only for their wait

Their work is unknown, the latency objective stood in for it, and that is longer than their timeout. Ruled out: stale configuration (404 would follow) and missing targets. Change: without a measured work only the wait for a slot counts against the deadline.

--- a/include/skylarkdyke/placement/work_model.hpp
+++ b/include/skylarkdyke/placement/work_model.hpp
@@ -32,7 +32,12 @@
   void learn(const std::string &RouteName, bool Warm,
              std::chrono::nanoseconds Work);
 
-  /// \brief Expected work.
+  /// \brief Whether the work of a route was measured.
+  bool isKnown(const std::string &RouteName) const {
+    return WorkOf.count(RouteName) != 0;
+  }
+
+  /// \brief Expected work; the latency objective before any was measured.
   /// \param WarmChance probability that the target is warm for the object
   std::chrono::nanoseconds expected(const routing::route &Route,
                                     double WarmChance) const;
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -207,7 +207,10 @@
   if (Best == nullptr)
     return no_target{no_target_reason::NoRoom, ShortestRetryAfter};
   const bool Full = Best->Load >= FullLoadPerSlot * Best->State->Target.Slots;
-  if (Full || Now + Best->End > Query.Deadline)
+  // The work of a route that nobody measured yet is no reason to refuse.
+  const nanoseconds Needed =
+      Work.isKnown(Query.Route->Name) ? Best->End : Best->Wait;
+  if (Full || Now + Needed > Query.Deadline)
     return no_target{no_target_reason::NoRoom,
                      std::max<nanoseconds>(Best->Wait / 2, ShortestRetryAfter)};
   return chosen_target{Best->State->Target.Id, Best->State->Target.Address,
