--- a/include/skylarkdyke/admission/retry_allowance.hpp
+++ b/include/skylarkdyke/admission/retry_allowance.hpp
@@ -39,9 +39,9 @@
                 base::boot_time Now) {
     usage &Usage = of(Service);
     const double Allowed =
-        UsedShare * (Bound.Ratio *
-                         static_cast<double>(Usage.Requests.count(Now)) +
-                     Bound.Slack / (Entries == 0 ? 1 : Entries));
+        UsedShare *
+        (Bound.Ratio * static_cast<double>(Usage.Requests.count(Now)) +
+         Bound.Slack / (Entries == 0 ? 1 : Entries));
     if (static_cast<double>(Usage.Retries.count(Now)) + 1 > Allowed)
       return false;
     Usage.Retries.add(Now);
@@ -61,8 +61,8 @@
     if (Found != Usages.end())
       return Found->second;
     return Usages
-        .emplace(Service,
-                 usage{sliding_count(Bound.Window), sliding_count(Bound.Window)})
+        .emplace(Service, usage{sliding_count(Bound.Window),
+                                sliding_count(Bound.Window)})
         .first->second;
   }
 
--- a/include/skylarkdyke/gateway/change_source.hpp
+++ b/include/skylarkdyke/gateway/change_source.hpp
@@ -18,8 +18,7 @@
   /// \brief All that the store holds at a revision.
   /// \param NewestRevision revision of the newest item listed
   virtual void replaceAll(const std::vector<routing::store_change> &Items,
-                          std::uint64_t NewestRevision,
-                          std::uint64_t AsOf) = 0;
+                          std::uint64_t NewestRevision, std::uint64_t AsOf) = 0;
 
   /// \brief One change, in order of revisions.
   virtual void apply(const routing::store_change &Change,
--- a/include/skylarkdyke/membership/member_table.hpp
+++ b/include/skylarkdyke/membership/member_table.hpp
@@ -99,11 +99,12 @@
 /// \param Allowed regions to which callers may be sent beside their own; empty:
 /// all
 /// \return front addresses, at most Limit
-std::vector<base::endpoint> entriesForCaller(
-    const std::vector<entry_status> &Ready,
-    const std::map<base::domain_name, base::region_name> &RegionOf,
-    const base::region_name &CallerRegion,
-    const std::vector<base::region_name> &Allowed, std::size_t Limit);
+std::vector<base::endpoint>
+entriesForCaller(const std::vector<entry_status> &Ready,
+                 const std::map<base::domain_name, base::region_name> &RegionOf,
+                 const base::region_name &CallerRegion,
+                 const std::vector<base::region_name> &Allowed,
+                 std::size_t Limit);
 
 } // namespace skylarkdyke::membership
 
--- a/include/skylarkdyke/placement/target_book.hpp
+++ b/include/skylarkdyke/placement/target_book.hpp
@@ -78,8 +78,7 @@
 class target_book {
 public:
   /// \param RegionOf region of each failure domain
-  explicit target_book(
-      std::map<base::domain_name, base::region_name> RegionOf);
+  explicit target_book(std::map<base::domain_name, base::region_name> RegionOf);
 
   /// \brief Adds or updates a target. A later start time under the same id
   /// resets what was learned.
--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -180,11 +180,11 @@
   HedgeTimer.expires_after(std::max<nanoseconds>(
       std::chrono::duration_cast<nanoseconds>(Expected * OverdueFactor),
       ShortestOverdue));
-  HedgeTimer.async_wait([Self = shared_from_this()](
-                            const boost::system::error_code &Result) {
-    if (!Result && !Self->Done && Self->maySendAgain())
-      Self->place();
-  });
+  HedgeTimer.async_wait(
+      [Self = shared_from_this()](const boost::system::error_code &Result) {
+        if (!Result && !Self->Done && Self->maySendAgain())
+          Self->place();
+      });
 }
 
 void exchange::onResult(std::size_t Index, net::call_result Result) {
@@ -198,11 +198,10 @@
     return onAnswered(Index, std::move(*Answer));
   const bool MayHaveRunNow = std::holds_alternative<unknown_outcome>(Outcome);
   const auto &[Kind, Reason] =
-      MayHaveRunNow
-          ? std::tie(std::get<unknown_outcome>(Outcome).Result,
-                     std::get<unknown_outcome>(Outcome).Reason)
-          : std::tie(std::get<surely_not_run>(Outcome).Result,
-                     std::get<surely_not_run>(Outcome).Reason);
+      MayHaveRunNow ? std::tie(std::get<unknown_outcome>(Outcome).Result,
+                               std::get<unknown_outcome>(Outcome).Reason)
+                    : std::tie(std::get<surely_not_run>(Outcome).Result,
+                               std::get<surely_not_run>(Outcome).Reason);
   Context.Book.endSend(Attempt.Chosen.Id, Kind, Query.Service->ColdTime, Now);
   Context.Pool.put(Attempt.Chosen.Id, Attempt.Channel, Now);
   TimedOut = TimedOut || Kind == send_result::TimedOut;
@@ -225,10 +224,10 @@
                      const net::http_response &Response) {
   const auto Now = base::boot_clock::now();
   const bool Failed = isTargetFailure(Response);
-  Context.Book.endSend(
-      Attempt.Chosen.Id,
-      Failed ? send_result::ErrorAnswer : send_result::Answered,
-      Query.Service->ColdTime, Now);
+  Context.Book.endSend(Attempt.Chosen.Id,
+                       Failed ? send_result::ErrorAnswer
+                              : send_result::Answered,
+                       Query.Service->ColdTime, Now);
   if (const auto Load = parseLoad(std::string(Response[Context.Headers.Load])))
     Context.Book.learnLoad(Attempt.Chosen.Id, *Load, Now);
   if (!Failed)
--- a/src/gateway/detail/mesh_link.cpp
+++ b/src/gateway/detail/mesh_link.cpp
@@ -27,10 +27,10 @@
           Loop, MaxMeshConnections, [] { return net::server_limits(); },
           [&State](const std::shared_ptr<net::pending_request> &Request) {
             const bool Known = Request->request().target() == SnapshotPath;
-            Request->answer(
-                Known ? net::makeResponse(200, State.encodeSnapshot(),
-                                          "application/cbor")
-                      : net::makeResponse(404));
+            Request->answer(Known
+                                ? net::makeResponse(200, State.encodeSnapshot(),
+                                                    "application/cbor")
+                                : net::makeResponse(404));
           }) {}
 
 bool mesh_link::start() {
--- a/src/gateway/detail/send_outcome.cpp
+++ b/src/gateway/detail/send_outcome.cpp
@@ -10,10 +10,14 @@
 using placement::send_result;
 
 static constexpr std::array<bhttp::field, 9> HopByHop = {
-    bhttp::field::connection,          bhttp::field::keep_alive,
-    bhttp::field::proxy_connection,    bhttp::field::te,
-    bhttp::field::trailer,             bhttp::field::transfer_encoding,
-    bhttp::field::upgrade,             bhttp::field::proxy_authenticate,
+    bhttp::field::connection,
+    bhttp::field::keep_alive,
+    bhttp::field::proxy_connection,
+    bhttp::field::te,
+    bhttp::field::trailer,
+    bhttp::field::transfer_encoding,
+    bhttp::field::upgrade,
+    bhttp::field::proxy_authenticate,
     bhttp::field::proxy_authorization,
 };
 
--- a/src/gateway/detail/steering_state.cpp
+++ b/src/gateway/detail/steering_state.cpp
@@ -40,8 +40,8 @@
     return;
   }
   Document = Text;
-  Routes = std::make_shared<const routing::route_table>(
-      std::move(Decoded.value()));
+  Routes =
+      std::make_shared<const routing::route_table>(std::move(Decoded.value()));
   SKYLARKDYKE_LOG(INFO, ConfigInstalled) << "version=" << Version;
 }
 
@@ -55,34 +55,33 @@
 
 void steering_state::applyOne(const routing::store_change &Change) {
   const auto Now = Clock();
-  std::visit(
-      overloaded{
-          [&](const routing::configuration_published &Given) {
-            installConfiguration(Given.Document);
-          },
-          [&](const routing::target_published &Given) {
-            if (!Book.publish(Given.Target, Now))
-              LOG(WARNING) << "target " << Given.Target.Id.str()
-                           << " is in an unknown failure domain";
-          },
-          [&](const routing::target_removed &Given) {
-            Book.remove(Given.Id, removalTime());
-          },
-          [&](const routing::evacuation_started &Given) {
-            Book.startEvacuation(Given.Domain);
-          },
-          [&](const routing::evacuation_ended &Given) {
-            milliseconds ColdTime{0};
-            if (Routes)
-              for (const routing::service &Service : Routes->services())
-                ColdTime = std::max(ColdTime, Service.ColdTime);
-            Book.endEvacuation(Given.Domain, ColdTime, Now);
-          },
-          [&](const routing::entry_announced &Given) {
-            if (OnEntry)
-              OnEntry(Given.MeshAddress);
-          }},
-      Change);
+  std::visit(overloaded{[&](const routing::configuration_published &Given) {
+                          installConfiguration(Given.Document);
+                        },
+                        [&](const routing::target_published &Given) {
+                          if (!Book.publish(Given.Target, Now))
+                            LOG(WARNING) << "target " << Given.Target.Id.str()
+                                         << " is in an unknown failure domain";
+                        },
+                        [&](const routing::target_removed &Given) {
+                          Book.remove(Given.Id, removalTime());
+                        },
+                        [&](const routing::evacuation_started &Given) {
+                          Book.startEvacuation(Given.Domain);
+                        },
+                        [&](const routing::evacuation_ended &Given) {
+                          milliseconds ColdTime{0};
+                          if (Routes)
+                            for (const routing::service &Service :
+                                 Routes->services())
+                              ColdTime = std::max(ColdTime, Service.ColdTime);
+                          Book.endEvacuation(Given.Domain, ColdTime, Now);
+                        },
+                        [&](const routing::entry_announced &Given) {
+                          if (OnEntry)
+                            OnEntry(Given.MeshAddress);
+                        }},
+             Change);
 }
 
 void steering_state::replaceAll(const std::vector<routing::store_change> &Items,
@@ -140,14 +139,10 @@
   const auto &Target = State.Target;
   const auto ColdFor = std::chrono::duration_cast<milliseconds>(
       std::max(State.ColdUntil, Now) - Now);
-  return {Target.Id.str(),
-          Target.Service.str(),
-          base::toString(Target.Address),
-          Target.Domain.str(),
-          Target.Slots,
-          Target.Draining,
-          ColdFor.count(),
-          Target.StartedAtMs};
+  return {
+      Target.Id.str(),     Target.Service.str(), base::toString(Target.Address),
+      Target.Domain.str(), Target.Slots,         Target.Draining,
+      ColdFor.count(),     Target.StartedAtMs};
 }
 
 static routing::target decodeTarget(const json &Fields) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -92,10 +92,13 @@
       Retries(Settings.RetryBound), Log(STDOUT_FILENO, Settings.Name),
       State(Book, std::move(Decoder), Settings.RecordReturnTime,
             [] { return base::boot_clock::now(); }),
-      Pool(Loop), Context{Loop,  Protocol.Headers, State,   Book,
-                          Placer, Pool,            Retries, Metrics,
-                          Log,    {},              {},      1,
-                          {},     0},
+      Pool(Loop), Context{Loop,    Protocol.Headers,
+                          State,   Book,
+                          Placer,  Pool,
+                          Retries, Metrics,
+                          Log,     {},
+                          {},      1,
+                          {},      0},
       Members(Settings.Mesh),
       Mesh(
           Loop, State, Members, Settings.Mesh, [this] { return ownStatus(); },
@@ -201,11 +204,10 @@
   const auto Now = base::boot_clock::now();
   if (!WasReady && isReady()) {
     WasReady = true;
-    SKYLARKDYKE_DECISION(
-        Log, EntryReady, Now,
-        {{"config_version",
-          static_cast<std::int64_t>(State.routes()->version())},
-         {"targets", static_cast<std::int64_t>(Book.size())}});
+    SKYLARKDYKE_DECISION(Log, EntryReady, Now,
+                         {{"config_version", static_cast<std::int64_t>(
+                                                 State.routes()->version())},
+                          {"targets", static_cast<std::int64_t>(Book.size())}});
     Mesh.announceNow(Now);
   }
   Mesh.tick(Now);
@@ -298,8 +300,7 @@
     AcceptEnded = true;
     Front.stopAccepting();
   }
-  const bool Drained =
-      AcceptEnded && Context.Running == 0 && Front.busy() == 0;
+  const bool Drained = AcceptEnded && Context.Running == 0 && Front.busy() == 0;
   if (Drained || Now >= *Context.StopBy + 100ms) {
     SKYLARKDYKE_DECISION(
         Log, EntryStopped, Now,
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -84,10 +84,9 @@
   for (const base::endpoint &Known : Status.Known)
     addAddress(Known, Now);
   const auto Found = Members.find(Status.Name);
-  const bool IsNew =
-      Found == Members.end() ||
-      Found->second.Status.Incarnation != Status.Incarnation ||
-      Now - Found->second.HeardAt > SilenceLimit;
+  const bool IsNew = Found == Members.end() ||
+                     Found->second.Status.Incarnation != Status.Incarnation ||
+                     Now - Found->second.HeardAt > SilenceLimit;
   Members[Status.Name] = {Status, Now};
   return IsNew;
 }
@@ -129,11 +128,12 @@
   return Sample;
 }
 
-std::vector<base::endpoint> entriesForCaller(
-    const std::vector<entry_status> &Ready,
-    const std::map<base::domain_name, base::region_name> &RegionOf,
-    const base::region_name &CallerRegion,
-    const std::vector<base::region_name> &Allowed, std::size_t Limit) {
+std::vector<base::endpoint>
+entriesForCaller(const std::vector<entry_status> &Ready,
+                 const std::map<base::domain_name, base::region_name> &RegionOf,
+                 const base::region_name &CallerRegion,
+                 const std::vector<base::region_name> &Allowed,
+                 std::size_t Limit) {
   const auto Collect = [&](auto IsWanted) {
     std::vector<base::endpoint> Found;
     for (const entry_status &Entry : Ready) {
@@ -144,14 +144,12 @@
     }
     return Found;
   };
-  auto Found = Collect([&](const base::region_name &Region) {
-    return Region == CallerRegion;
-  });
+  auto Found = Collect(
+      [&](const base::region_name &Region) { return Region == CallerRegion; });
   if (Found.empty())
     Found = Collect([&](const base::region_name &Region) {
       return Allowed.empty() ||
-             std::find(Allowed.begin(), Allowed.end(), Region) !=
-                 Allowed.end();
+             std::find(Allowed.begin(), Allowed.end(), Region) != Allowed.end();
     });
   return Found;
 }
--- a/src/net/http_channel.cpp
+++ b/src/net/http_channel.cpp
@@ -101,8 +101,8 @@
     : Impl(std::move(Impl)) {}
 http_channel::~http_channel() = default;
 
-std::shared_ptr<http_channel>
-http_channel::create(asio::io_context &Loop, const base::endpoint &Peer) {
+std::shared_ptr<http_channel> http_channel::create(asio::io_context &Loop,
+                                                   const base::endpoint &Peer) {
   return std::shared_ptr<http_channel>(
       new http_channel(std::make_unique<impl>(Loop, Peer)));
 }
@@ -213,7 +213,8 @@
 void http_channel::impl::onResponse(const std::shared_ptr<http_channel> &Self,
                                     const error_code &Failure) {
   if (Failure || !Parser->is_done())
-    return fail(faultOf(Failure, Parser->is_header_done() || Parser->got_some()));
+    return fail(
+        faultOf(Failure, Parser->is_header_done() || Parser->got_some()));
   const bool KeepAlive = Parser->keep_alive();
   http_response Response = Parser->release();
   const bool Interim = Response.result_int() < 200;
@@ -263,8 +264,8 @@
   // A readable idle connection holds either the peer's close or bytes that
   // belong to no request.
   char Byte = 0;
-  return recv(Impl->Socket.native_handle(), &Byte, 1,
-              MSG_PEEK | MSG_DONTWAIT) < 0 &&
+  return recv(Impl->Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) <
+             0 &&
          (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -326,9 +326,8 @@
   if (Failure) {
     LOG(WARNING) << "cannot accept a connection: " << Failure.message();
     Pause.expires_after(AcceptPause);
-    Pause.async_wait([Self = shared_from_this()](const error_code &) {
-      Self->accept();
-    });
+    Pause.async_wait(
+        [Self = shared_from_this()](const error_code &) { Self->accept(); });
     return;
   }
   if (Sessions.size() < MaxConnections)
--- a/src/placement/home_share.cpp
+++ b/src/placement/home_share.cpp
@@ -20,9 +20,9 @@
   double TotalRoom = 0;
   double Kept = 0;
   for (const auto &[Region, Balance] : Balances) {
-    const double DemandShare =
-        Demand > 0 ? Balance.Demand / Demand
-                   : 1.0 / static_cast<double>(Balances.size());
+    const double DemandShare = Demand > 0
+                                   ? Balance.Demand / Demand
+                                   : 1.0 / static_cast<double>(Balances.size());
     const double SlotShare = Balance.Slots / Slots;
     if (Region == Own && DemandShare > 0)
       Kept = Balance.Slots <= 0
@@ -61,8 +61,7 @@
     ChangedAt = Now;
     return Shares;
   }
-  const double Seconds =
-      std::chrono::duration<double>(Now - ChangedAt).count();
+  const double Seconds = std::chrono::duration<double>(Now - ChangedAt).count();
   ChangedAt = Now;
   double Moved = 0;
   for (const auto &[Region, Share] : Goal)
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -37,15 +37,14 @@
 };
 
 std::uint64_t hashObject(const std::string &RouteName, std::string_view Key) {
-  return XXH3_64bits_withSeed(
-      Key.data(), Key.size(),
-      XXH3_64bits(RouteName.data(), RouteName.size()));
+  return XXH3_64bits_withSeed(Key.data(), Key.size(),
+                              XXH3_64bits(RouteName.data(), RouteName.size()));
 }
 
 placer::placer(target_book &Book, base::region_name OwnRegion,
                std::string OwnName)
-    : Book(Book), OwnRegion(std::move(OwnRegion)), OwnName(std::move(OwnName)),
-      Entries{this->OwnName} {}
+    : Book(Book), OwnRegion(std::move(OwnRegion)),
+      OwnName(std::move(OwnName)), Entries{this->OwnName} {}
 placer::~placer() = default;
 
 void placer::setEntries(std::vector<std::string> Names) {
@@ -70,8 +69,8 @@
     return;
   const auto [It, IsNew] = RoundTrips.emplace(State->Region, Time);
   if (!IsNew)
-    It->second += std::chrono::duration_cast<nanoseconds>(
-        RoundTripWeight * (Time - It->second));
+    It->second += std::chrono::duration_cast<nanoseconds>(RoundTripWeight *
+                                                          (Time - It->second));
 }
 
 static bool isAllowed(const routing::route &Route,
@@ -118,8 +117,8 @@
   // The tolerated rate is shared by few entries, at least one request per
   // second each, so that their sum keeps it without messages.
   const double Rate = std::max(Service.ColdRequestsPerSecond, 0.5);
-  const auto Users = static_cast<std::size_t>(std::clamp(
-      std::floor(Rate), 1.0, static_cast<double>(Entries.size())));
+  const auto Users = static_cast<std::size_t>(
+      std::clamp(std::floor(Rate), 1.0, static_cast<double>(Entries.size())));
   const auto OrderOf = [&State](const std::string &Name) {
     return XXH3_64bits_withSeed(Name.data(), Name.size(), State.Seed);
   };
@@ -213,9 +212,12 @@
   if (Full || Now + Needed > Query.Deadline)
     return no_target{no_target_reason::NoRoom,
                      std::max<nanoseconds>(Best->Wait / 2, ShortestRetryAfter)};
-  return chosen_target{Best->State->Target.Id, Best->State->Target.Address,
-                       Best->Warm,             Best->Work,
-                       Best->Wait,             Best->Load};
+  return chosen_target{Best->State->Target.Id,
+                       Best->State->Target.Address,
+                       Best->Warm,
+                       Best->Work,
+                       Best->Wait,
+                       Best->Load};
 }
 
 void placer::learn(const placement_query &Query, const chosen_target &Chosen,
@@ -223,14 +225,14 @@
   const target_state *State = Book.find(Chosen.Id);
   if (State == nullptr)
     return;
-  const nanoseconds Spent = std::max<nanoseconds>(
-      Latency - roundTrip(State->Region), nanoseconds(1));
+  const nanoseconds Spent =
+      std::max<nanoseconds>(Latency - roundTrip(State->Region), nanoseconds(1));
   if (Chosen.ExpectedWait == nanoseconds(0) && State->ColdUntil <= Now) {
     Work.learn(Query.Route->Name, Chosen.Warm, Spent);
     const double Expected = static_cast<double>(
         Work.expected(*Query.Route, Chosen.Warm ? 1 : FirstWarmChance).count());
-    Book.learnPace(Chosen.Id,
-                   static_cast<double>(Spent.count()) / std::max(1.0, Expected));
+    Book.learnPace(Chosen.Id, static_cast<double>(Spent.count()) /
+                                  std::max(1.0, Expected));
   }
   Work.noteHandled(Query.ObjectHash, State->Seed, Now);
 }
--- a/src/placement/target_book.cpp
+++ b/src/placement/target_book.cpp
@@ -32,7 +32,8 @@
   if (Region == RegionOf.end())
     return false;
   auto &State = States[Target.Id];
-  const bool IsNew = !State || State->Target.StartedAtMs != Target.StartedAtMs ||
+  const bool IsNew = !State ||
+                     State->Target.StartedAtMs != Target.StartedAtMs ||
                      !(State->Target.Address == Target.Address);
   if (IsNew) {
     const unsigned InFlight = State ? State->InFlight : 0;
--- a/src/placement/work_model.cpp
+++ b/src/placement/work_model.cpp
@@ -39,12 +39,12 @@
                                               double WarmChance) const {
   const auto Found = WorkOf.find(Route.Name);
   const std::chrono::duration<double> Objective = Route.LatencyObjective;
-  std::chrono::duration<double> Other =
-      Found == WorkOf.end() ? std::chrono::duration<double>(0)
-                            : Found->second.Other;
-  std::chrono::duration<double> Warm =
-      Found == WorkOf.end() ? std::chrono::duration<double>(0)
-                            : Found->second.Warm;
+  std::chrono::duration<double> Other = Found == WorkOf.end()
+                                            ? std::chrono::duration<double>(0)
+                                            : Found->second.Other;
+  std::chrono::duration<double> Warm = Found == WorkOf.end()
+                                           ? std::chrono::duration<double>(0)
+                                           : Found->second.Warm;
   if (Other.count() <= 0)
     Other = Warm.count() > 0 ? Warm / AssumedWarmGain : Objective;
   if (Warm.count() <= 0)
--- a/src/telemetry/decision_log.cpp
+++ b/src/telemetry/decision_log.cpp
@@ -33,8 +33,7 @@
   void operator()(double Number) const { appendNumber(Line, Number); }
   void operator()(bool Flag) const { Line += Flag ? "true" : "false"; }
   void operator()(std::chrono::nanoseconds Time) const {
-    appendNumber(Line,
-                 std::chrono::duration<double, std::milli>(Time).count());
+    appendNumber(Line, std::chrono::duration<double, std::milli>(Time).count());
   }
 };
 
