Give callers of a host in a region the same two entries

Cause: each entry sees a tenth of a target's load, so it neither knows which targets are warm nor how long they queue. Ruled out: rank priors alone (the unwarmed share of sends stays three times the number of objects). Change: the directory orders a region's ready entries by rendezvous hash of the host and names two.

--- a/include/skylarkdyke/membership/member_table.hpp
+++ b/include/skylarkdyke/membership/member_table.hpp
@@ -93,18 +93,26 @@
   std::map<std::string, member> Members;
 };
 
+/// \brief A caller's question for entries.
+struct caller_place {
+  /// Host that the caller wants to reach.
+  std::string Host;
+  base::region_name Region;
+  /// Regions to which callers may be sent beside their own; empty: all.
+  std::vector<base::region_name> Allowed;
+};
+
 /// \brief The entries that a caller should use: ready ones of its region, else
 /// of the allowed regions, else any.
+///
+/// Callers of one host in one region are given the same few entries, so that
+/// each of these sees most of the load of the targets it uses.
 /// \param RegionOf region of each failure domain
-/// \param Allowed regions to which callers may be sent beside their own; empty:
-/// all
 /// \return front addresses, at most Limit
-std::vector<base::endpoint>
-entriesForCaller(const std::vector<entry_status> &Ready,
-                 const std::map<base::domain_name, base::region_name> &RegionOf,
-                 const base::region_name &CallerRegion,
-                 const std::vector<base::region_name> &Allowed,
-                 std::size_t Limit);
+std::vector<base::endpoint> entriesForCaller(
+    const std::vector<entry_status> &Ready,
+    const std::map<base::domain_name, base::region_name> &RegionOf,
+    const caller_place &Caller, std::size_t Limit);
 
 } // namespace skylarkdyke::membership
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -23,7 +23,7 @@
 /// Callers may keep a directory answer this many times longer.
 static constexpr int LongestTtlFactor = 3;
 /// Most entries in a directory answer.
-static constexpr std::size_t MaxDirectoryEntries = 64;
+static constexpr std::size_t MaxDirectoryEntries = 2;
 /// Descriptors kept free for targets, the store and files.
 static constexpr std::size_t ReservedDescriptors = 1200;
 static constexpr std::size_t MaxControlConnections = 400;
@@ -249,13 +249,13 @@
   for (const auto *Member : Members.live(base::boot_clock::now()))
     if (Member->Status.Ready && !Member->Status.Leaving)
       Ready.push_back(Member->Status);
-  std::vector<base::region_name> Allowed;
+  membership::caller_place Place{Question.Host, Question.Region, {}};
   if (State.routes())
     for (const routing::route *Route : State.routes()->routesOf(Question.Host))
       if (!Route->AllowedRegions.empty())
-        Allowed = Route->AllowedRegions;
+        Place.Allowed = Route->AllowedRegions;
   const auto Entries = membership::entriesForCaller(
-      Ready, Settings.RegionOf, Question.Region, Allowed, MaxDirectoryEntries);
+      Ready, Settings.RegionOf, Place, MaxDirectoryEntries);
   if (Entries.empty())
     return net::makeResponse(503, "no entry is ready\n");
   const auto Ttl = std::min(DirectoryTtl, Settings.MaxDirectoryTtl);
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
+#include <xxhash.h>
 
 namespace skylarkdyke::membership {
 
@@ -128,29 +130,33 @@
   return Sample;
 }
 
-std::vector<base::endpoint>
-entriesForCaller(const std::vector<entry_status> &Ready,
-                 const std::map<base::domain_name, base::region_name> &RegionOf,
-                 const base::region_name &CallerRegion,
-                 const std::vector<base::region_name> &Allowed,
-                 std::size_t Limit) {
-  const auto Collect = [&](auto IsWanted) {
-    std::vector<base::endpoint> Found;
-    for (const entry_status &Entry : Ready) {
-      const auto Region = RegionOf.find(Entry.Domain);
-      if (Region != RegionOf.end() && IsWanted(Region->second) &&
-          Found.size() < Limit)
-        Found.push_back(Entry.Front);
-    }
-    return Found;
-  };
-  auto Found = Collect(
-      [&](const base::region_name &Region) { return Region == CallerRegion; });
-  if (Found.empty())
-    Found = Collect([&](const base::region_name &Region) {
-      return Allowed.empty() ||
-             std::find(Allowed.begin(), Allowed.end(), Region) != Allowed.end();
-    });
+std::vector<base::endpoint> entriesForCaller(
+    const std::vector<entry_status> &Ready,
+    const std::map<base::domain_name, base::region_name> &RegionOf,
+    const caller_place &Caller, std::size_t Limit) {
+  const std::uint64_t HostSeed =
+      XXH3_64bits(Caller.Host.data(), Caller.Host.size());
+  std::vector<std::pair<std::uint64_t, base::endpoint>> Own;
+  std::vector<std::pair<std::uint64_t, base::endpoint>> Others;
+  for (const entry_status &Entry : Ready) {
+    const auto Region = RegionOf.find(Entry.Domain);
+    if (Region == RegionOf.end())
+      continue;
+    const std::uint64_t Order = XXH3_64bits_withSeed(
+        Entry.Name.data(), Entry.Name.size(), HostSeed);
+    const auto &Allowed = Caller.Allowed;
+    if (Region->second == Caller.Region)
+      Own.emplace_back(Order, Entry.Front);
+    else if (Allowed.empty() || std::find(Allowed.begin(), Allowed.end(),
+                                          Region->second) != Allowed.end())
+      Others.emplace_back(Order, Entry.Front);
+  }
+  auto &Usable = Own.empty() ? Others : Own;
+  std::sort(Usable.begin(), Usable.end());
+  std::vector<base::endpoint> Found;
+  for (const auto &[Order, Front] : Usable)
+    if (Found.size() < Limit)
+      Found.push_back(Front);
   return Found;
 }
 
