Give callers of a host in a region one entry while its processor suffices

Cause: with two dispatchers a host, half of the load and of the warm targets stays unknown to each. Change: the directory names 1 + demand / (1000 per core x processor share) entries.

--- a/include/skylarkdyke/gateway/gateway.hpp
+++ b/include/skylarkdyke/gateway/gateway.hpp
@@ -47,6 +47,8 @@
   /// are back after it.
   std::chrono::milliseconds RecordReturnTime{2000};
   std::size_t MaxDescriptors = 1024;
+  /// Part of a processor core that the process may use.
+  double ProcessorShare = 1;
 };
 
 /// \brief Names of the headers that callers, entries and targets exchange.
--- a/include/skylarkdyke/placement/placer.hpp
+++ b/include/skylarkdyke/placement/placer.hpp
@@ -80,6 +80,10 @@
   void setDemand(const base::service_name &Service,
                  std::map<base::region_name, double> Demand);
 
+  /// \brief Requests per second of a region's callers; zero if unknown.
+  double demand(const base::service_name &Service,
+                const base::region_name &Region) const;
+
   placement_result choose(const placement_query &Query, base::boot_time Now);
 
   /// \brief Learns from an answered request.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -7,7 +7,9 @@
 #include "skylarkdyke/base/event.hpp"
 #include "skylarkdyke/membership/member_table.hpp"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
+#include <set>
 #include <unistd.h>
 
 namespace skylarkdyke::gateway {
@@ -23,7 +25,9 @@
 /// Callers may keep a directory answer this many times longer.
 static constexpr int LongestTtlFactor = 3;
 /// Most entries in a directory answer.
-static constexpr std::size_t MaxDirectoryEntries = 2;
+static constexpr std::size_t MaxDirectoryEntries = 64;
+/// Requests per second of one host that one entry with a whole core takes.
+static constexpr double RequestsPerCore = 1000;
 /// Descriptors kept free for targets, the store and files.
 static constexpr std::size_t ReservedDescriptors = 1200;
 static constexpr std::size_t MaxControlConnections = 400;
@@ -49,6 +53,7 @@
   void onDirectoryRequest(const std::shared_ptr<net::pending_request> &Request);
   void onMetricsRequest(const std::shared_ptr<net::pending_request> &Request);
   net::http_response directoryAnswer(const directory_question &Question);
+  std::size_t entriesFor(const directory_question &Question) const;
   net::server_limits callerLimits() const;
   std::size_t maxCallers() const;
   void stopStep();
@@ -241,6 +246,23 @@
                            : net::makeResponse(404));
 }
 
+/// One entry takes all requests for a host from a region as long as its
+/// processor suffices: it then knows the load of the targets from its own.
+std::size_t
+gateway::impl::entriesFor(const directory_question &Question) const {
+  std::set<base::service_name> Services;
+  if (State.routes())
+    for (const routing::route *Route : State.routes()->routesOf(Question.Host))
+      for (const auto &Part : Route->Services)
+        Services.insert(Part.Service);
+  double Rate = 0;
+  for (const base::service_name &Service : Services)
+    Rate += Placer.demand(Service, Question.Region);
+  const double Needed = Rate / (RequestsPerCore * Settings.ProcessorShare);
+  return std::clamp(static_cast<std::size_t>(Needed) + 1, std::size_t{1},
+                    MaxDirectoryEntries);
+}
+
 net::http_response
 gateway::impl::directoryAnswer(const directory_question &Question) {
   std::vector<membership::entry_status> Ready;
@@ -255,7 +277,7 @@
       if (!Route->AllowedRegions.empty())
         Place.Allowed = Route->AllowedRegions;
   const auto Entries = membership::entriesForCaller(
-      Ready, Settings.RegionOf, Place, MaxDirectoryEntries);
+      Ready, Settings.RegionOf, Place, entriesFor(Question));
   if (Entries.empty())
     return net::makeResponse(503, "no entry is ready\n");
   const auto Ttl = std::min(DirectoryTtl, Settings.MaxDirectoryTtl);
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -56,6 +56,15 @@
   Demand[Service] = std::move(Given);
 }
 
+double placer::demand(const base::service_name &Service,
+                      const base::region_name &Region) const {
+  const auto ByRegion = Demand.find(Service);
+  if (ByRegion == Demand.end())
+    return 0;
+  const auto Found = ByRegion->second.find(Region);
+  return Found == ByRegion->second.end() ? 0 : Found->second;
+}
+
 nanoseconds placer::roundTrip(const base::region_name &Region) const {
   const auto Found = RoundTrips.find(Region);
   if (Found != RoundTrips.end())
