Keep connections whose request is being read when an entry stops

Ruled out: requests that cross the close unread (their client retries), answers cut at the exit. Change: a connection counts as busy from the moment its request may be read. Test: net_server.AStopNeverClosesAConnectionWhoseRequestIsHandled failed before.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -164,6 +164,9 @@
 }
 
 void session::readHeader() {
+  // Bytes of the request may be read from now on, so a stop must not close the
+  // connection before its answer.
+  setBusy(true);
   const server_limits Limits = Server->Limits();
   Parser.emplace();
   Parser->header_limit(static_cast<std::uint32_t>(Limits.MaxHeaderBytes));
@@ -179,7 +182,6 @@
 void session::onHeader(const error_code &Failure) {
   if (Failure)
     return refuse(Failure);
-  setBusy(true);
   if (Parser->is_done())
     return onBody({});
   if (!beast::iequals(Parser->get()[bhttp::field::expect], "100-continue"))
--- /dev/null
+++ b/tests/unit-net-server.cpp
@@ -0,0 +1,129 @@
+#include "skylarkdyke/net/http_server.hpp"
+#include "support/free_port.hpp"
+#include "support/raw_client.hpp"
+
+#include <optional>
+
+// Last, because it redefines "new".
+#include <CppUTest/TestHarness.h>
+
+using namespace skylarkdyke;
+using namespace std::chrono_literals;
+
+static const std::string Get = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+TEST_GROUP(net_server) {
+  boost::asio::io_context Loop;
+  base::endpoint Address{"127.0.0.1", test_support::freePort()};
+  std::vector<std::shared_ptr<net::pending_request>> Received;
+  net::server_limits Limits;
+  std::optional<net::http_server> Server;
+
+  void setup() override {
+    Server.emplace(
+        Loop, 100, [this] { return Limits; },
+        [this](const std::shared_ptr<net::pending_request> &Request) {
+          Received.push_back(Request);
+        });
+    CHECK(Server->listen(Address));
+  }
+  void teardown() override {
+    Server->stopAccepting();
+    Received.clear();
+    Loop.poll();
+  }
+
+  void runFor(std::chrono::milliseconds Time) {
+    Loop.restart();
+    Loop.run_for(Time);
+  }
+  void answerAll() {
+    for (const auto &Request : Received)
+      Request->answer(net::makeResponse(200, "done"));
+    runFor(20ms);
+  }
+};
+
+// Guards against a stop that closes a connection whose request was read and
+// then sends the request to a target: its caller would get no answer.
+TEST(net_server, AStopNeverClosesAConnectionWhoseRequestIsHandled) {
+  for (int Steps = 0; Steps < 12; ++Steps) {
+    Received.clear();
+    Address.Port = test_support::freePort();
+    setup();
+    const test_support::raw_client Client(Address);
+    Client.send(Get);
+    for (int Step = 0; Step < Steps; ++Step) {
+      Loop.restart();
+      Loop.run_one_for(5ms);
+    }
+    Server->drain();
+    Server->stopAccepting();
+    runFor(20ms);
+    const bool Handled = !Received.empty();
+    answerAll();
+    const bool Answered =
+        Client.receive().find("done") != std::string::npos;
+    CHECK_EQUAL_TEXT(Handled, Answered, "handled but not answered");
+  }
+}
+
+// Guards against work for callers that have left.
+TEST(net_server, TellsThatTheCallerHasLeft) {
+  test_support::raw_client Client(Address);
+  Client.send(Get);
+  runFor(20ms);
+  LONGS_EQUAL(1, Received.size());
+  bool Gone = false;
+  Received[0]->onCallerGone([&Gone] { Gone = true; });
+  Client.close();
+  runFor(20ms);
+  CHECK(Gone);
+}
+
+// Guards against requests hidden in the body of another one.
+TEST(net_server, RefusesTwoBodyLengths) {
+  const test_support::raw_client Client(Address);
+  Client.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+              "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b HTTP/1.1\r\n"
+              "Host: h\r\n\r\n");
+  runFor(20ms);
+  LONGS_EQUAL(0, Received.size());
+  CHECK(Client.receive().find("HTTP/1.1 400") == 0);
+}
+
+// Guards against callers that exceed the bounds of the configuration.
+TEST(net_server, RefusesTooLargeMessages) {
+  Limits.MaxBodyBytes = 10;
+  Limits.MaxHeaderBytes = 200;
+  const test_support::raw_client Body(Address);
+  Body.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n");
+  const test_support::raw_client Header(Address);
+  Header.send("GET /a HTTP/1.1\r\nHost: h\r\nX: " + std::string(300, 'x') +
+              "\r\n\r\n");
+  runFor(30ms);
+  CHECK(Body.receive().find("HTTP/1.1 413") == 0);
+  CHECK(Header.receive().find("HTTP/1.1 431") == 0);
+}
+
+// Guards against answers in another order than the requests of a connection.
+TEST(net_server, AnswersRequestsOfOneConnectionOneByOne) {
+  const test_support::raw_client Client(Address);
+  Client.send(Get + Get);
+  runFor(20ms);
+  LONGS_EQUAL(1, Received.size());
+  answerAll();
+  LONGS_EQUAL(2, Received.size());
+}
+
+// Guards against connections that stay open forever.
+TEST(net_server, ClosesIdleAndSlowConnections) {
+  Limits.IdleTimeout = 30ms;
+  Limits.HeaderTimeout = 30ms;
+  const test_support::raw_client Idle(Address);
+  const test_support::raw_client Slow(Address);
+  Slow.send("GET /a HT");
+  runFor(120ms);
+  CHECK(Idle.isClosed());
+  CHECK(Slow.isClosed());
+}
