Divide the rate of cold targets by demand and use joined targets once

Cause: after a loss of all power every target is cold; their rate was divided among up to nine entries although one entry a region and host sends, so two thirds of it lay idle and requests were refused. Ruled out: the retry allowance (few retries in those seconds).

--- a/include/skylarkdyke/placement/placer.hpp
+++ b/include/skylarkdyke/placement/placer.hpp
@@ -7,7 +7,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -47,6 +49,8 @@
   NoTarget,
   /// Every target would answer too late.
   NoRoom,
+  /// The targets are cold and their rate is used up for the moment.
+  ColdLimit,
 };
 
 struct no_target {
@@ -57,6 +61,21 @@
 
 using placement_result = std::variant<chosen_target, no_target>;
 
+/// \brief This entry's part of the rates that cold targets tolerate.
+///
+/// The entries of a target's region divide its rate by their demand, so that
+/// the sum keeps it without messages for each request.
+struct cold_allotment {
+  /// Part of the demand of the own region that this entry has, by service.
+  std::map<std::string, double> PartOfDemand;
+  /// Part for services without a known demand.
+  double EqualPart = 1;
+  /// Regions whose cold targets are left to their own entries.
+  std::set<base::region_name> RegionsWithEntries;
+  /// Part of the rate in regions without entries.
+  double PartElsewhere = 1;
+};
+
 /// \brief Chooses targets by expected end.
 ///
 /// Objects have a home region and, inside it, an order of targets on which all
@@ -69,12 +88,12 @@
 class placer {
 public:
   /// \param OwnRegion region of this entry
-  /// \param OwnName name of this entry
-  placer(target_book &Book, base::region_name OwnRegion, std::string OwnName);
+  placer(target_book &Book, base::region_name OwnRegion);
   ~placer();
 
-  /// \brief Sets the entries among which the rate of cold targets is shared.
-  void setEntries(std::vector<std::string> Names);
+  void setColdAllotment(cold_allotment Allotment) {
+    ColdAllotment = std::move(Allotment);
+  }
 
   /// \brief Sets the requests per second of each region's callers.
   void setDemand(const base::service_name &Service,
@@ -104,14 +123,16 @@
                                       base::boot_time Now) const;
   void score(candidate &Candidate, std::size_t Rank,
              const placement_query &Query, base::boot_time Now) const;
-  bool mayUseCold(const target_state &State, const routing::service &Service,
-                  base::boot_time Now) const;
+  void updateColdInterval(target_state &State,
+                          const routing::service &Service) const;
+  const candidate *unusedTarget(const std::vector<candidate> &Candidates,
+                                const placement_query &Query,
+                                base::boot_time Now) const;
   std::chrono::nanoseconds roundTrip(const base::region_name &Region) const;
 
   target_book &Book;
   base::region_name OwnRegion;
-  std::string OwnName;
-  std::vector<std::string> Entries;
+  cold_allotment ColdAllotment;
   work_model Work;
   std::unordered_map<base::service_name, std::map<base::region_name, double>>
       Demand;
--- a/include/skylarkdyke/placement/target_book.hpp
+++ b/include/skylarkdyke/placement/target_book.hpp
@@ -65,7 +65,13 @@
   /// The target may have restarted: it counts as cold when it answers again.
   bool LostContact = false;
   base::boot_time ColdUntil{};
-  base::boot_time LastColdSend{};
+  /// Earliest time of the next send while the target is cold.
+  base::boot_time NextColdSend{};
+  /// Pause between sends that keeps this entry's part of the cold rate.
+  std::chrono::nanoseconds ColdInterval{0};
+  base::boot_time PublishedAt{};
+  /// This entry has sent requests to the target.
+  bool WasUsed = false;
   /// Reason that keeps all work away until the record changes.
   bool WrongAddress = false;
   /// A removed record is kept until then, for the time after a store outage.
--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -21,6 +21,10 @@
 static constexpr milliseconds ShortestOverdue{300};
 /// Least time left that makes another send worthwhile.
 static constexpr milliseconds LeastTimeToSend{5};
+/// A request waits for the rate of cold targets this often, and each time less
+/// than this; otherwise it is refused at once.
+static constexpr unsigned MostColdWaits = 3;
+static constexpr milliseconds LongestColdWait{150};
 /// One in so many answered requests is logged.
 static constexpr std::uint64_t LogSampling = 64;
 /// Window of the demand meter.
@@ -135,13 +139,38 @@
   send(std::get<placement::chosen_target>(Placed));
 }
 
+static const char *reasonText(placement::no_target_reason Reason) {
+  switch (Reason) {
+  case placement::no_target_reason::NoTarget:
+    return "no_target";
+  case placement::no_target_reason::NoRoom:
+    return "no_room";
+  case placement::no_target_reason::ColdLimit:
+    return "cold_limit";
+  }
+  return "unknown_reason";
+}
+
+void exchange::waitForColdTarget(nanoseconds Time) {
+  ++ColdWaits;
+  HedgeTimer.expires_after(Time);
+  HedgeTimer.async_wait([Self = shared_from_this()](
+                            const boost::system::error_code &Result) {
+    if (!Result && !Self->Done)
+      Self->place();
+  });
+}
+
 void exchange::onNoTarget(const placement::no_target &Missing) {
   if (anyRunning())
     return;
+  const bool ColdLimit =
+      Missing.Reason == placement::no_target_reason::ColdLimit;
+  if (ColdLimit && ColdWaits < MostColdWaits &&
+      Missing.RetryAfter < LongestColdWait)
+    return waitForColdTarget(Missing.RetryAfter);
   if (LastReason.empty())
-    LastReason = Missing.Reason == placement::no_target_reason::NoRoom
-                     ? "no_room"
-                     : "no_target";
+    LastReason = reasonText(Missing.Reason);
   if (MayHaveRun || TargetFailure)
     return answerFailure();
   fail(503, LastReason, Missing.RetryAfter);
--- a/src/gateway/detail/exchange.hpp
+++ b/src/gateway/detail/exchange.hpp
@@ -92,6 +92,7 @@
   void onAnswered(std::size_t Index, answered Outcome);
   void onFailure(const std::string &Reason, bool MayHaveRunNow);
   bool maySendAgain();
+  void waitForColdTarget(std::chrono::nanoseconds Time);
   void armHedge(const attempt &Attempt);
   void onCallerGone();
   void cancelRunning();
@@ -108,10 +109,12 @@
   /// Kept so that a route stays valid when the configuration changes.
   std::shared_ptr<const routing::route_table> Routes;
   placement::placement_query Query;
+  /// Waits for a cold target before the first send, for the second send after.
   boost::asio::steady_timer HedgeTimer;
   std::vector<attempt> Attempts;
   std::optional<net::http_response> TargetFailure;
   std::string LastReason;
+  unsigned ColdWaits = 0;
   bool MayHaveRun = false;
   bool TimedOut = false;
   bool Done = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -35,6 +35,8 @@
 /// part at which the last answers are given.
 static constexpr double AcceptShareOfGrace = 0.5;
 static constexpr double AnswerShareOfGrace = 0.93;
+/// Time after the start in which the others' demand is not fully known.
+static constexpr milliseconds YoungTime{2000};
 /// Addresses of other entries in each heartbeat.
 static constexpr std::size_t KnownInHeartbeat = 4;
 
@@ -82,6 +84,7 @@
   bool Stopping = false;
   bool AcceptEnded = false;
   bool WasReady = false;
+  base::boot_time StartedAt = base::boot_clock::now();
   base::boot_time StopAcceptAt{};
   std::uint64_t SkippedTo = 0;
 };
@@ -93,7 +96,7 @@
                     configuration_decoder Decoder)
     : Loop(Loop), Settings(std::move(Given)),
       Protocol(std::move(GivenProtocol)), Source(Source),
-      Book(Settings.RegionOf), Placer(Book, Settings.Region, Settings.Name),
+      Book(Settings.RegionOf), Placer(Book, Settings.Region),
       Retries(Settings.RetryBound), Log(STDOUT_FILENO, Settings.Name),
       State(Book, std::move(Decoder), Settings.RecordReturnTime,
             [] { return base::boot_clock::now(); }),
@@ -185,22 +188,36 @@
   return Status;
 }
 
-/// Shares the common bounds among the live entries and sums up their demand.
+/// Sums up the demand of all live entries and shares the common bounds among
+/// them.
 void gateway::impl::updateShares(base::boot_time Now) {
-  std::vector<std::string> Names{Settings.Name};
   std::map<std::string, std::map<base::region_name, double>> Demand;
-  for (const auto &[Service, Rate] : Context.Demand.rates(Now))
+  const auto OwnDemand = Context.Demand.rates(Now);
+  for (const auto &[Service, Rate] : OwnDemand)
     Demand[Service][Settings.Region] += Rate;
+  placement::cold_allotment Cold;
+  Cold.RegionsWithEntries.insert(Settings.Region);
+  unsigned InRegion = 1;
+  Context.Entries = 1;
   for (const auto *Member : Members.live(Now)) {
-    Names.push_back(Member->Status.Name);
+    ++Context.Entries;
     const auto Region = Settings.RegionOf.find(Member->Status.Domain);
     if (Region == Settings.RegionOf.end())
       continue;
+    InRegion += Region->second == Settings.Region ? 1 : 0;
+    Cold.RegionsWithEntries.insert(Region->second);
     for (const auto &[Service, Rate] : Member->Status.Demand)
       Demand[Service][Region->second] += Rate;
   }
-  Context.Entries = static_cast<unsigned>(Names.size());
-  Placer.setEntries(std::move(Names));
+  // Others' demand is not known yet just after the start.
+  const bool Young = Now - StartedAt < YoungTime && InRegion > 1;
+  for (const auto &[Service, Rate] : OwnDemand)
+    if (Rate > 0)
+      Cold.PartOfDemand[Service] =
+          (Young ? 0.5 : 1) * Rate / Demand[Service][Settings.Region];
+  Cold.EqualPart = 1.0 / InRegion;
+  Cold.PartElsewhere = 1.0 / Context.Entries;
+  Placer.setColdAllotment(std::move(Cold));
   for (auto &[Service, ByRegion] : Demand)
     Placer.setDemand(base::service_name(Service), std::move(ByRegion));
 }
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -11,11 +11,11 @@
 
 /// Probability that a target is warm for an object although this entry has not
 /// sent it there lately, by its place in the object's order.
-static constexpr double FirstWarmChance = 0.8;
-static constexpr double SecondWarmChance = 0.3;
-static constexpr double OtherWarmChance = 0.1;
+static constexpr double FirstWarmChance = 0.95;
+static constexpr double SecondWarmChance = 0.2;
+static constexpr double OtherWarmChance = 0.05;
 /// Part of a region's surplus of objects that moves to other regions.
-static constexpr double GivenSurplus = 0.8;
+static constexpr double GivenSurplus = 0.9;
 /// Largest part of a region's requests that changes regions per second.
 static constexpr double MaxShiftPerSecond = 0.03;
 /// Round trip assumed to another region before one was measured.
@@ -23,6 +23,14 @@
 static constexpr double RoundTripWeight = 0.2;
 /// Requests per slot from which a target is taken for full.
 static constexpr double FullLoadPerSlot = 3.5;
+/// Shortest wait for a cold target.
+static constexpr milliseconds ShortestWait{5};
+/// Rate of sends to cold targets that are left to other entries.
+static constexpr double SlowestColdRate = 0.1;
+/// When a target that joined gets its first request: after the callers' other
+/// entries know it too, and not long after, when it is no longer new.
+static constexpr milliseconds FirstUseAfter{1500};
+static constexpr milliseconds FirstUseBefore{20000};
 /// Shortest advice to a refused caller.
 static constexpr milliseconds ShortestRetryAfter{50};
 
@@ -41,16 +49,10 @@
                               XXH3_64bits(RouteName.data(), RouteName.size()));
 }
 
-placer::placer(target_book &Book, base::region_name OwnRegion,
-               std::string OwnName)
-    : Book(Book), OwnRegion(std::move(OwnRegion)),
-      OwnName(std::move(OwnName)), Entries{this->OwnName} {}
+placer::placer(target_book &Book, base::region_name OwnRegion)
+    : Book(Book), OwnRegion(std::move(OwnRegion)) {}
 placer::~placer() = default;
 
-void placer::setEntries(std::vector<std::string> Names) {
-  Entries = std::move(Names);
-}
-
 void placer::setDemand(const base::service_name &Service,
                        std::map<base::region_name, double> Given) {
   Demand[Service] = std::move(Given);
@@ -118,26 +120,39 @@
                          XXH3_64bits(&Query.ObjectHash, sizeof(std::uint64_t)));
 }
 
-bool placer::mayUseCold(const target_state &State,
-                        const routing::service &Service,
-                        base::boot_time Now) const {
-  if (State.ColdUntil <= Now)
-    return true;
-  // The tolerated rate is shared by few entries, at least one request per
-  // second each, so that their sum keeps it without messages.
-  const double Rate = std::max(Service.ColdRequestsPerSecond, 0.5);
-  const auto Users = static_cast<std::size_t>(
-      std::clamp(std::floor(Rate), 1.0, static_cast<double>(Entries.size())));
-  const auto OrderOf = [&State](const std::string &Name) {
-    return XXH3_64bits_withSeed(Name.data(), Name.size(), State.Seed);
-  };
-  const std::uint64_t Own = OrderOf(OwnName);
-  std::size_t Before = 0;
-  for (const std::string &Name : Entries)
-    Before += OrderOf(Name) > Own ? 1 : 0;
-  const std::chrono::duration<double> Interval(static_cast<double>(Users) /
-                                               Rate);
-  return Before < Users && Now - State.LastColdSend >= Interval;
+void placer::updateColdInterval(target_state &State,
+                                const routing::service &Service) const {
+  double Part = 0;
+  if (State.Region == OwnRegion) {
+    const auto Found = ColdAllotment.PartOfDemand.find(Service.Name.str());
+    Part = Found == ColdAllotment.PartOfDemand.end() ? ColdAllotment.EqualPart
+                                                     : Found->second;
+  } else if (ColdAllotment.RegionsWithEntries.count(State.Region) == 0) {
+    Part = ColdAllotment.PartElsewhere;
+  }
+  const double Rate = std::max(Part * Service.ColdRequestsPerSecond,
+                               SlowestColdRate);
+  State.ColdInterval = std::chrono::duration_cast<nanoseconds>(
+      std::chrono::duration<double>(1 / Rate));
+}
+
+/// A target that joined and has got nothing yet gets one idempotent request, so
+/// that its pace becomes known.
+const placer::candidate *
+placer::unusedTarget(const std::vector<candidate> &Candidates,
+                     const placement_query &Query, base::boot_time Now) const {
+  if (Query.Route->Repeatability != routing::repeatability::Idempotent ||
+      !Query.Tried.empty())
+    return nullptr;
+  for (const candidate &Candidate : Candidates) {
+    const target_state &State = *Candidate.State;
+    const auto Age = Now - State.PublishedAt;
+    if (!State.WasUsed && State.Region == OwnRegion && Age > FirstUseAfter &&
+        Age < FirstUseBefore && State.EjectedUntil <= Now &&
+        Candidate.End != nanoseconds(0))
+      return &Candidate;
+  }
+  return nullptr;
 }
 
 std::vector<placer::candidate>
@@ -199,11 +214,18 @@
     return no_target{no_target_reason::NoTarget, ShortestRetryAfter};
   const candidate *Best = nullptr;
   const candidate *BestEjected = nullptr;
+  base::boot_time NextColdSend = base::boot_time::max();
   for (std::size_t Rank = 0; Rank < Candidates.size(); ++Rank) {
     candidate &Candidate = Candidates[Rank];
-    const target_state &State = *Candidate.State;
-    if (!mayUseCold(State, *Query.Service, Now))
-      continue;
+    target_state &State = *Candidate.State;
+    State.ColdInterval = nanoseconds(0);
+    if (State.ColdUntil > Now) {
+      updateColdInterval(State, *Query.Service);
+      if (State.NextColdSend > Now) {
+        NextColdSend = std::min(NextColdSend, State.NextColdSend);
+        continue;
+      }
+    }
     score(Candidate, Rank, Query, Now);
     const bool Ejected = State.EjectedUntil > Now || State.ProbingBack;
     const candidate *&Place = Ejected ? BestEjected : Best;
@@ -213,7 +235,10 @@
   if (Best == nullptr)
     Best = BestEjected;
   if (Best == nullptr)
-    return no_target{no_target_reason::NoRoom, ShortestRetryAfter};
+    return no_target{no_target_reason::ColdLimit,
+                     std::max<nanoseconds>(NextColdSend - Now, ShortestWait)};
+  if (const candidate *Unused = unusedTarget(Candidates, Query, Now))
+    Best = Unused;
   const bool Full = Best->Load >= FullLoadPerSlot * Best->State->Target.Slots;
   // The work of a route that nobody measured yet is no reason to refuse.
   const nanoseconds Needed =
--- a/src/placement/target_book.cpp
+++ b/src/placement/target_book.cpp
@@ -39,6 +39,7 @@
     const unsigned InFlight = State ? State->InFlight : 0;
     State = std::make_unique<target_state>();
     State->InFlight = InFlight;
+    State->PublishedAt = Now;
     State->Seed = XXH3_64bits(Target.Id.str().data(), Target.Id.str().size());
   }
   State->Target = Target;
@@ -119,7 +120,10 @@
   if (State == nullptr)
     return;
   ++State->InFlight;
-  State->LastColdSend = Now;
+  State->WasUsed = true;
+  State->NextColdSend =
+      std::max(State->NextColdSend, Now - State->ColdInterval) +
+      State->ColdInterval;
   if (State->FailuresInRow > 0)
     State->ProbingBack = true;
 }
