Count the cost of warming another target; learn the pace from warm work only

Cause: requests left a warm target with a short queue for a free one that was not warm for their object: three times more cold runs than objects. Unit tests of the placer showed that the first, cold, run of an object made its target count as slow and moved the object away (placement_placer.AnObjectStaysAtItsTarget failed first), and that after each start every target got one request for its own sake. Change: a choice costs its end plus 2.5 times the work at a target that is probably not warm; the pace is learned from warm work; only targets that join after 10 s get a first request for its own sake.

--- a/include/skylarkdyke/placement/target_book.hpp
+++ b/include/skylarkdyke/placement/target_book.hpp
@@ -70,6 +70,8 @@
   /// Pause between sends that keeps this entry's part of the cold rate.
   std::chrono::nanoseconds ColdInterval{0};
   base::boot_time PublishedAt{};
+  /// It was added after the others, while this entry was serving.
+  bool Joined = false;
   /// This entry has sent requests to the target.
   bool WasUsed = false;
   /// Reason that keeps all work away until the record changes.
@@ -148,6 +150,8 @@
   std::unordered_map<base::target_id, std::unique_ptr<target_state>> States;
   std::unordered_map<base::service_name, std::vector<target_state *>> ByService;
   std::set<base::domain_name> Evacuated;
+  /// When the first target was added.
+  std::optional<base::boot_time> FilledAt;
 };
 
 } // namespace skylarkdyke::placement
--- a/include/skylarkdyke/placement/work_model.hpp
+++ b/include/skylarkdyke/placement/work_model.hpp
@@ -42,6 +42,14 @@
   std::chrono::nanoseconds expected(const routing::route &Route,
                                     double WarmChance) const;
 
+  /// \brief Measured work relative to that expected at a warm target.
+  double ratioToWarm(const routing::route &Route,
+                     std::chrono::nanoseconds Work) const {
+    const auto Expected = expected(Route, 1);
+    return static_cast<double>(Work.count()) /
+           static_cast<double>(Expected.count() > 0 ? Expected.count() : 1);
+  }
+
 private:
   struct route_work {
     std::chrono::duration<double> Warm{0};
--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -154,11 +154,11 @@
 void exchange::waitForColdTarget(nanoseconds Time) {
   ++ColdWaits;
   HedgeTimer.expires_after(Time);
-  HedgeTimer.async_wait([Self = shared_from_this()](
-                            const boost::system::error_code &Result) {
-    if (!Result && !Self->Done)
-      Self->place();
-  });
+  HedgeTimer.async_wait(
+      [Self = shared_from_this()](const boost::system::error_code &Result) {
+        if (!Result && !Self->Done)
+          Self->place();
+      });
 }
 
 void exchange::onNoTarget(const placement::no_target &Missing) {
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -27,10 +27,14 @@
 static constexpr milliseconds ShortestWait{5};
 /// Rate of sends to cold targets that are left to other entries.
 static constexpr double SlowestColdRate = 0.1;
-/// When a target that joined gets its first request: after the callers' other
-/// entries know it too, and not long after, when it is no longer new.
+/// When a target that joined gets its first request: after it is settled.
 static constexpr milliseconds FirstUseAfter{1500};
-static constexpr milliseconds FirstUseBefore{20000};
+/// Factor on the work at targets that are probably not warm for the object: the
+/// longer work takes a slot from other requests, and the object may push out
+/// what the target keeps for others.
+static constexpr double CostOfWarming = 3.5;
+/// Targets that are more probably warm than this are taken for warm.
+static constexpr double ProbablyWarm = 0.5;
 /// Shortest advice to a refused caller.
 static constexpr milliseconds ShortestRetryAfter{50};
 
@@ -42,6 +46,8 @@
   nanoseconds Work{0};
   nanoseconds Wait{0};
   nanoseconds End{0};
+  /// End, and what the choice costs other requests.
+  nanoseconds Cost{0};
 };
 
 std::uint64_t hashObject(const std::string &RouteName, std::string_view Key) {
@@ -130,8 +136,8 @@
   } else if (ColdAllotment.RegionsWithEntries.count(State.Region) == 0) {
     Part = ColdAllotment.PartElsewhere;
   }
-  const double Rate = std::max(Part * Service.ColdRequestsPerSecond,
-                               SlowestColdRate);
+  const double Rate =
+      std::max(Part * Service.ColdRequestsPerSecond, SlowestColdRate);
   State.ColdInterval = std::chrono::duration_cast<nanoseconds>(
       std::chrono::duration<double>(1 / Rate));
 }
@@ -147,8 +153,8 @@
   for (const candidate &Candidate : Candidates) {
     const target_state &State = *Candidate.State;
     const auto Age = Now - State.PublishedAt;
-    if (!State.WasUsed && State.Region == OwnRegion && Age > FirstUseAfter &&
-        Age < FirstUseBefore && State.EjectedUntil <= Now &&
+    if (State.Joined && !State.WasUsed && State.Region == OwnRegion &&
+        Age > FirstUseAfter && State.EjectedUntil <= Now &&
         Candidate.End != nanoseconds(0))
       return &Candidate;
   }
@@ -202,6 +208,10 @@
   Candidate.Wait = std::chrono::duration_cast<nanoseconds>(
       Work.expected(*Query.Route, FirstWarmChance) * State.Slowness * Ahead);
   Candidate.End = Candidate.Work + Candidate.Wait + roundTrip(State.Region);
+  Candidate.Cost = Candidate.End;
+  if (Chance < ProbablyWarm)
+    Candidate.Cost += std::chrono::duration_cast<nanoseconds>(
+        Candidate.Work * (CostOfWarming - 1));
 }
 
 placement_result placer::choose(const placement_query &Query,
@@ -229,7 +239,7 @@
     score(Candidate, Rank, Query, Now);
     const bool Ejected = State.EjectedUntil > Now || State.ProbingBack;
     const candidate *&Place = Ejected ? BestEjected : Best;
-    if (Place == nullptr || Candidate.End < Place->End)
+    if (Place == nullptr || Candidate.Cost < Place->Cost)
       Place = &Candidate;
   }
   if (Best == nullptr)
@@ -262,11 +272,11 @@
   const nanoseconds Spent =
       std::max<nanoseconds>(Latency - roundTrip(State->Region), nanoseconds(1));
   if (Chosen.ExpectedWait == nanoseconds(0) && State->ColdUntil <= Now) {
+    // Only work at a warm target tells its pace: whether another one was warm
+    // is not known.
+    if (Chosen.Warm)
+      Book.learnPace(Chosen.Id, Work.ratioToWarm(*Query.Route, Spent));
     Work.learn(Query.Route->Name, Chosen.Warm, Spent);
-    const double Expected = static_cast<double>(
-        Work.expected(*Query.Route, Chosen.Warm ? 1 : FirstWarmChance).count());
-    Book.learnPace(Chosen.Id, static_cast<double>(Spent.count()) /
-                                  std::max(1.0, Expected));
   }
   Work.noteHandled(Query.ObjectHash, State->Seed, Now);
 }
--- a/src/placement/target_book.cpp
+++ b/src/placement/target_book.cpp
@@ -18,6 +18,8 @@
 static constexpr double EjectionShare = 0.4;
 static constexpr milliseconds FirstEjection{1000};
 static constexpr milliseconds LongestEjection{8000};
+/// Targets that are added later than this after the first one have joined.
+static constexpr milliseconds FillTime{10000};
 /// Bounds of the pace, so that one odd sample cannot exclude a target.
 static constexpr double FastestPace = 0.3;
 static constexpr double SlowestPace = 20;
@@ -40,6 +42,8 @@
     State = std::make_unique<target_state>();
     State->InFlight = InFlight;
     State->PublishedAt = Now;
+    FilledAt = FilledAt.value_or(Now);
+    State->Joined = Now - *FilledAt > FillTime;
     State->Seed = XXH3_64bits(Target.Id.str().data(), Target.Id.str().size());
   }
   State->Target = Target;
--- /dev/null
+++ b/tests/unit-adapter-wire.cpp
@@ -0,0 +1,173 @@
+#include "platform/settings.hpp"
+#include "platform/wire.hpp"
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+// Last, because it redefines "new".
+#include <CppUTest/TestHarness.h>
+
+using namespace skylarkdyke;
+using namespace std::chrono_literals;
+
+static const char *const Configuration = R"({"version":"r7","routes":{"columns":
+["name","host","path_prefix","kind","timeout_s","target_latency_s","priority",
+"service","max_attempts","sticky","allowed_regions","traffic_split"],"rows":[
+["a","h.example","/a/","unsafe",2,0.8,1,"orders",2,true,["north"],null],
+["b","h.example","/b/","safe",1.5,0.6,2,null,3,null,[],
+[{"service":"orders","weight":90},{"service":"stock","weight":10}]]]},
+"services":{"columns":["name","health_path","max_connections","cold_start_s",
+"cold_per_s"],"rows":[["orders","/healthz",360,3.0,3.1]]},
+"limits":{"max_header_bytes":1000,"max_body_bytes":2000,"header_timeout_s":3,
+"idle_timeout_s":15}})";
+
+TEST_GROUP(adapter_wire){
+    template <class Change>
+    Change decode(const std::string &Key, const std::string &Value){
+        const auto Decoded = adapter::decodeItem(Key, Value);
+CHECK(Decoded &&std::holds_alternative<Change>(*Decoded));
+return std::get<Change>(*Decoded);
+}
+}
+;
+
+// Guards against requests that may run once only and are taken for repeatable
+// ones, and against cells that are null.
+TEST(adapter_wire, DecodesRoutesAndServices) {
+  const auto Decoded = adapter::decodeConfiguration(Configuration);
+  CHECK(Decoded.has_value());
+  const auto &Given = Decoded.value();
+  LONGS_EQUAL(7, Given.Version);
+  const routing::route &First = Given.Routes.at(0);
+  CHECK(First.Repeatability == routing::repeatability::AtMostOnce);
+  CHECK(First.Timeout == 2000ms && First.LatencyObjective == 800ms);
+  CHECK(First.Sticky && First.AllowedRegions.size() == 1);
+  const routing::route &Second = Given.Routes.at(1);
+  CHECK(Second.Repeatability == routing::repeatability::Idempotent);
+  LONGS_EQUAL(2, Second.Services.size());
+  DOUBLES_EQUAL(10, Second.Services.at(1).Weight, 0);
+  CHECK(Given.Services.at(0).ColdTime == 3000ms);
+  DOUBLES_EQUAL(3.1, Given.Services.at(0).ColdRequestsPerSecond, 1e-9);
+  LONGS_EQUAL(1000, Given.Limits.MaxHeaderBytes);
+}
+
+// Guards against a version that leaves out columns which no row uses.
+TEST(adapter_wire, ColumnsMayBeMissing) {
+  const auto Decoded = adapter::decodeConfiguration(
+      R"({"version":"r2","routes":{"columns":["name","host","path_prefix",
+      "service"],"rows":[["a","h","/a/","orders"]]},
+      "services":{"columns":["name"],"rows":[["orders"]]}})");
+  CHECK(Decoded.has_value());
+  LONGS_EQUAL(1, Decoded.value().Routes.at(0).MaxAttempts);
+}
+
+// Guards against a broken document that is put in force, and reports that name
+// no place.
+TEST(adapter_wire, RefusesBrokenConfigurations) {
+  CHECK(!adapter::decodeConfiguration("{\"version\":\"r2\""));
+  const auto Decoded = adapter::decodeConfiguration(
+      R"({"version":"2","routes":{"columns":["name"],"rows":[["a"]]}})");
+  CHECK(!Decoded);
+  CHECK(Decoded.error().size() >= 3);
+  STRCMP_EQUAL("/version", Decoded.error().at(0).Place.c_str());
+}
+
+// Guards against targets of another writer whose records cannot be used.
+TEST(adapter_wire, DecodesTargetsAndPassesOverForeignRecords) {
+  const auto Published = decode<routing::target_published>(
+      "servers/i-1",
+      R"({"address":"10.0.0.9:80","born":1700000000123,"info":{"service":"s",
+      "version":"v1","zone":"z","capacity":4},"status":{"state":"draining",
+      "sequence":4,"cold_remaining_s":1.5}})");
+  CHECK(Published.Target.Draining && Published.Target.ColdFor == 1500ms);
+  CHECK(Published.Target.StartedAtMs == 1700000000123);
+  LONGS_EQUAL(4, Published.Target.Slots);
+  for (const char *Value :
+       {"\x01", "{}", "[]",
+        R"({"address":7,"info":{"service":"s","zone":"z","capacity":4},
+        "status":{"state":"ready"}})",
+        R"({"address":"10.0.0.9:80","info":{"service":"s","zone":"z",
+        "capacity":4},"status":{"state":"thinking"}})"})
+    CHECK(decode<routing::target_removed>("servers/i-1", Value).Id.str() ==
+          "i-1");
+}
+
+// Guards against evacuations that are overlooked or never end.
+TEST(adapter_wire, DecodesEvacuations) {
+  CHECK(decode<routing::evacuation_started>("op/evacuate/waw-a", "{}")
+            .Domain.str() == "waw-a");
+  const auto Ended = adapter::decodeRemoval("op/evacuate/waw-a");
+  CHECK(Ended && std::holds_alternative<routing::evacuation_ended>(*Ended));
+  CHECK(!adapter::decodeItem("op/else", "{}"));
+}
+
+// Guards against directory questions that are read wrongly.
+TEST(adapter_wire, ReadsDirectoryQuestions) {
+  const auto Protocol = adapter::callerProtocol();
+  const auto Question =
+      Protocol.ReadQuestion("/api/resolve?zone=z%2D1&name=h.example&region=r");
+  CHECK(Question.has_value());
+  STRCMP_EQUAL("h.example", Question->Host.c_str());
+  STRCMP_EQUAL("z-1", Question->Domain.str().c_str());
+  CHECK(!Protocol.ReadQuestion("/api/other?name=h"));
+  STRCMP_EQUAL(
+      R"({"addresses":["10.0.0.1:80"],"ttl_s":1.5})",
+      Protocol.WriteDirectoryAnswer({{"10.0.0.1", 80}}, 1500ms).c_str());
+}
+
+// Guards against settings that are wrong and go unnoticed.
+TEST(adapter_wire, ChecksSettings) {
+  const auto Settings = adapter::parseNodeSettings(R"(
+[self]
+node_name = "n"
+zone = "z"
+region = "r"
+future_field = 1
+[self.limits]
+cpu_share = 0.2
+max_fds = 4100
+[network]
+port_range = [7620, 7635]
+seeds = ["10.0.0.2:8649"]
+[network.bind]
+front = "10.0.0.1:8641"
+control = "10.0.0.1:8649"
+[network.zones]
+z = "r"
+[provider.provider]
+address = "10.0.0.3:8642"
+[terms.bounds]
+retry_budget_ratio = 0.2
+grace_s = 6
+)",
+                                                   "node.toml");
+  CHECK(Settings.has_value());
+  CHECK(Settings.value().Gateway.StopGrace == 6s);
+  DOUBLES_EQUAL(0.2, Settings.value().Gateway.ProcessorShare, 1e-9);
+  LONGS_EQUAL(7620, Settings.value().Gateway.Metrics->Port);
+  const auto Wrong = adapter::parseNodeSettings("[self]\nzone = \"z\"\n", "f");
+  CHECK(!Wrong);
+  CHECK(Wrong.error().size() >= 4);
+  CHECK(!adapter::parseNodeSettings("[self", "f"));
+}
+
+// Guards against names of the platform's wire outside its folder.
+TEST(adapter_wire, WireNamesStandOnlyInTheAdapter) {
+  const std::vector<std::string> Names = {
+      "kv-range",     "kv-watch",     "kv-txn",      "op/config",
+      "op/evacuate",  "heartbeat_s",  "api/resolve", "api/readyz",
+      "path_prefix=", "Skylarkdyke-", "cold_per_s",  "allowed_regions"};
+  const std::filesystem::path Root = SKYLARKDYKE_SOURCE_DIR;
+  for (const char *Folder : {"src", "include"})
+    for (const auto &File :
+         std::filesystem::recursive_directory_iterator(Root / Folder)) {
+      if (!File.is_regular_file())
+        continue;
+      std::ostringstream Text;
+      Text << std::ifstream(File.path()).rdbuf();
+      for (const std::string &Name : Names)
+        CHECK_TEXT(Text.str().find(Name) == std::string::npos,
+                   (File.path().string() + " holds " + Name).c_str());
+    }
+}
--- /dev/null
+++ b/tests/unit-membership-table.cpp
@@ -0,0 +1,133 @@
+#include "skylarkdyke/membership/member_table.hpp"
+
+#include <rapidcheck.h>
+
+// Last, because it redefines "new".
+#include <CppUTest/TestHarness.h>
+
+using namespace skylarkdyke;
+using namespace std::chrono_literals;
+
+static const base::endpoint Own{"10.0.0.1", 8649};
+static const base::endpoint Peer{"10.0.0.2", 8649};
+static const base::boot_time Start(1h);
+
+static membership::entry_status
+makeStatus(const std::string &Name, const char *Ip, const char *Domain = "z") {
+  membership::entry_status Status;
+  Status.Name = Name;
+  Status.Incarnation = 7;
+  Status.Domain = base::domain_name(Domain);
+  Status.Mesh = {Ip, 8649};
+  Status.Front = {Ip, 8641};
+  Status.Ready = true;
+  Status.Demand["orders"] = 2.5;
+  return Status;
+}
+
+TEST_GROUP(membership_table) { membership::member_table Table{Own}; };
+
+// Guards against heartbeats that lose fields on the way.
+TEST(membership_table, AStatusSurvivesItsEncoding) {
+  auto Status = makeStatus("n", "10.0.0.2");
+  Status.ChangeRevision = 12345678901;
+  Status.Known = {Peer};
+  const auto Decoded = membership::decodeStatus(membership::encode(Status));
+  CHECK(Decoded.has_value());
+  CHECK(Decoded->Front == Status.Front && Decoded->Known == Status.Known);
+  CHECK(Decoded->ChangeRevision == Status.ChangeRevision);
+  DOUBLES_EQUAL(2.5, Decoded->Demand.at("orders"), 1e-9);
+}
+
+// Guards against datagrams of strangers that end the process.
+TEST(membership_table, ForeignDatagramsAreIgnored) {
+  CHECK(rc::check(
+      [](const std::string &Bytes) { membership::decodeStatus(Bytes); }));
+  std::string Cut = membership::encode(makeStatus("n", "10.0.0.2"));
+  while (!Cut.empty()) {
+    Cut.pop_back();
+    CHECK(!membership::decodeStatus(Cut));
+  }
+}
+
+// Guards against dead entries that are named to callers.
+TEST(membership_table, SilentEntriesAreNotLive) {
+  CHECK(Table.hear(makeStatus("n", "10.0.0.2"), Start));
+  CHECK(!Table.hear(makeStatus("n", "10.0.0.2"), Start + 1s));
+  LONGS_EQUAL(1, Table.live(Start + 2s).size());
+  LONGS_EQUAL(0,
+              Table.live(Start + 1s + membership::SilenceLimit + 1ms).size());
+  CHECK(Table.hear(makeStatus("n", "10.0.0.2"), Start + 10s));
+}
+
+// Guards against an entry that contacts itself, and against heartbeats to dead
+// entries at full rate and for ever.
+TEST(membership_table, ContactsLiveEntriesOftenAndDeadOnesRarely) {
+  Table.addAddress(Own, Start);
+  Table.addAddress(Peer, Start);
+  auto Now = Start;
+  unsigned Live = 0;
+  for (int Step = 0; Step < 40; ++Step, Now += 250ms) {
+    Table.hear(makeStatus("n", "10.0.0.2"), Now);
+    Live += static_cast<unsigned>(Table.due(Now).size());
+  }
+  LONGS_EQUAL(20, Live);
+  Now += 20s;
+  unsigned Dead = 0;
+  for (int Step = 0; Step < 40; ++Step, Now += 250ms)
+    Dead += static_cast<unsigned>(Table.due(Now).size());
+  CHECK(Dead <= 6);
+  LONGS_EQUAL(0, Table.due(Now + membership::ForgetAfter).size());
+}
+
+// Guards against entries that stay unknown while the store is away.
+TEST(membership_table, LearnsAddressesFromOthers) {
+  auto Status = makeStatus("n", "10.0.0.2");
+  Status.Known = {{"10.0.0.3", 8649}};
+  Table.hear(Status, Start);
+  LONGS_EQUAL(2, Table.due(Start).size());
+}
+
+TEST_GROUP(membership_directory) {
+  const std::map<base::domain_name, base::region_name> RegionOf = {
+      {base::domain_name("z"), base::region_name("r")},
+      {base::domain_name("far"), base::region_name("q")},
+      {base::domain_name("home"), base::region_name("h")}};
+  std::vector<membership::entry_status> Ready = {
+      makeStatus("a", "10.0.0.2"), makeStatus("b", "10.0.0.3"),
+      makeStatus("c", "10.0.0.4", "far"), makeStatus("d", "10.0.0.5", "home")};
+  membership::caller_place Caller{"h.example", base::region_name("r"), {}};
+};
+
+// Guards against callers that are sent across regions for nothing, and against
+// directories that disagree on the entry of a host.
+TEST(membership_directory, NamesTheSameEntryOfTheCallersRegion) {
+  const auto First = membership::entriesForCaller(Ready, RegionOf, Caller, 1);
+  LONGS_EQUAL(1, First.size());
+  std::reverse(Ready.begin(), Ready.end());
+  CHECK(membership::entriesForCaller(Ready, RegionOf, Caller, 1) == First);
+  LONGS_EQUAL(2,
+              membership::entriesForCaller(Ready, RegionOf, Caller, 9).size());
+}
+
+// Guards against one entry that takes the requests of all hosts.
+TEST(membership_directory, SpreadsHostsOverEntries) {
+  std::map<std::string, int> Hosts;
+  for (int I = 0; I < 100; ++I) {
+    Caller.Host = "h" + std::to_string(I);
+    ++Hosts[base::toString(
+        membership::entriesForCaller(Ready, RegionOf, Caller, 1).at(0))];
+  }
+  LONGS_EQUAL(2, Hosts.size());
+  for (const auto &[Entry, Count] : Hosts)
+    CHECK(Count > 30);
+}
+
+// Guards against bodies that are sent to a region where they must not go.
+TEST(membership_directory, HomesBindWhereTheOwnRegionHasNoEntry) {
+  Ready.erase(Ready.begin(), Ready.begin() + 2);
+  Caller.Allowed = {base::region_name("h")};
+  const auto Entries = membership::entriesForCaller(Ready, RegionOf, Caller, 9);
+  LONGS_EQUAL(1, Entries.size());
+  STRCMP_EQUAL("10.0.0.5", Entries.at(0).Address.c_str());
+}
