--- a/include/skylarkdyke/placement/work_model.hpp
+++ b/include/skylarkdyke/placement/work_model.hpp
@@ -42,10 +42,11 @@
   std::chrono::nanoseconds expected(const routing::route &Route,
                                     double WarmChance) const;
 
-  /// \brief Measured work relative to that expected at a warm target.
-  double ratioToWarm(const routing::route &Route,
-                     std::chrono::nanoseconds Work) const {
-    const auto Expected = expected(Route, 1);
+  /// \brief Measured work relative to the expected one.
+  /// \param Warm whether the target was known to be warm for the object
+  double ratioToExpected(const routing::route &Route, bool Warm,
+                         std::chrono::nanoseconds Work) const {
+    const auto Expected = expected(Route, Warm ? 1 : 0);
     return static_cast<double>(Work.count()) /
            static_cast<double>(Expected.count() > 0 ? Expected.count() : 1);
   }
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -29,10 +29,10 @@
 static constexpr double SlowestColdRate = 0.1;
 /// When a target that joined gets its first request: after it is settled.
 static constexpr milliseconds FirstUseAfter{1500};
-/// Factor on the work at targets that are probably not warm for the object: the
-/// longer work takes a slot from other requests, and the object may push out
-/// what the target keeps for others.
-static constexpr double CostOfWarming = 3.5;
+/// What the work at a target that is probably not warm for the object costs
+/// other requests there, as a multiple of it when all slots are busy: free slots
+/// are warmed for nothing.
+static constexpr double CostOfWarming = 1;
 /// Targets that are more probably warm than this are taken for warm.
 static constexpr double ProbablyWarm = 0.5;
 /// Shortest advice to a refused caller.
@@ -211,7 +211,7 @@
   Candidate.Cost = Candidate.End;
   if (Chance < ProbablyWarm)
     Candidate.Cost += std::chrono::duration_cast<nanoseconds>(
-        Candidate.Work * (CostOfWarming - 1));
+        Candidate.Work * (CostOfWarming * Candidate.Load / Slots));
 }
 
 placement_result placer::choose(const placement_query &Query,
@@ -272,10 +272,8 @@
   const nanoseconds Spent =
       std::max<nanoseconds>(Latency - roundTrip(State->Region), nanoseconds(1));
   if (Chosen.ExpectedWait == nanoseconds(0) && State->ColdUntil <= Now) {
-    // Only work at a warm target tells its pace: whether another one was warm
-    // is not known.
-    if (Chosen.Warm)
-      Book.learnPace(Chosen.Id, Work.ratioToWarm(*Query.Route, Spent));
+    Book.learnPace(Chosen.Id,
+                   Work.ratioToExpected(*Query.Route, Chosen.Warm, Spent));
     Work.learn(Query.Route->Name, Chosen.Warm, Spent);
   }
   Work.noteHandled(Query.ObjectHash, State->Seed, Now);
