--- /dev/null
+++ b/tests/support/platform_stand_in.cpp
@@ -0,0 +1,293 @@
+#include "support/platform_stand_in.hpp"
+
+#include "skylarkdyke/base/base64.hpp"
+#include "skylarkdyke/net/http_server.hpp"
+#include "support/free_port.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <future>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <thread>
+
+namespace test_support {
+
+using namespace skylarkdyke;
+using namespace std::chrono_literals;
+using nlohmann::json;
+using pending = std::shared_ptr<net::pending_request>;
+
+namespace {
+
+struct stored_item {
+  std::string Value;
+  std::uint64_t Revision = 0;
+  bool Deleted = false;
+};
+
+struct waiting_watch {
+  pending Request;
+  std::uint64_t After;
+  std::shared_ptr<boost::asio::steady_timer> Timer;
+};
+
+struct stand_in_target {
+  std::string Id;
+  std::string Service;
+  std::string Zone;
+  std::chrono::milliseconds Work{0};
+  base::endpoint Address;
+  bool LosesAnswers = false;
+  int Runs = 0;
+  std::unique_ptr<net::http_server> Server;
+};
+
+std::string queryField(const std::string &Target, const std::string &Name) {
+  const std::size_t At = Target.find(Name + "=");
+  if (At == std::string::npos)
+    return {};
+  const std::size_t From = At + Name.size() + 1;
+  return Target.substr(From, Target.find('&', From) - From);
+}
+
+} // namespace
+
+struct platform_stand_in::impl {
+  impl();
+  ~impl();
+
+  /// Runs a function on the loop's thread and waits for it.
+  template <class Function> auto onLoop(Function Body) {
+    std::promise<decltype(Body())> Done;
+    boost::asio::post(Loop, [&] { Done.set_value(Body()); });
+    return Done.get_future().get();
+  }
+
+  void handleStore(const pending &Request);
+  void list(const pending &Request, const std::string &Target);
+  void watch(const pending &Request, const std::string &Target);
+  bool answerEvents(const pending &Request, std::uint64_t After);
+  void write(const pending &Request);
+  int put(const std::string &Key, const std::string &Value, bool Deleted);
+  void handleTarget(stand_in_target &Target, const pending &Request);
+  int publish(stand_in_target &Target, const std::string &State);
+
+  boost::asio::io_context Loop;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      Guard{Loop.get_executor()};
+  base::endpoint Address{"127.0.0.1", freePort()};
+  std::unique_ptr<net::http_server> Store;
+  std::map<std::string, stored_item> Items;
+  std::vector<waiting_watch> Watches;
+  std::uint64_t Revision = 10;
+  bool TurnsAllAway = false;
+  std::map<std::string, std::unique_ptr<stand_in_target>> Targets;
+  std::map<std::string, int> Runs;
+  std::thread Thread;
+};
+
+platform_stand_in::impl::impl() {
+  Store = std::make_unique<net::http_server>(
+      Loop, 1000, [] { return net::server_limits(); },
+      [this](const pending &Request) { handleStore(Request); });
+  Store->listen(Address);
+  Thread = std::thread([this] { Loop.run(); });
+}
+
+platform_stand_in::impl::~impl() {
+  onLoop([this] {
+    Watches.clear();
+    Targets.clear();
+    Store.reset();
+    return 0;
+  });
+  Guard.reset();
+  Loop.stop();
+  Thread.join();
+}
+
+void platform_stand_in::impl::handleStore(const pending &Request) {
+  const std::string Target(Request->request().target());
+  if (TurnsAllAway)
+    return Request->answer(net::makeResponse(503));
+  if (Target.find("/api/kv-range") == 0)
+    return list(Request, Target);
+  if (Target.find("/api/kv-watch") == 0)
+    return watch(Request, Target);
+  if (Target.find("/api/kv-lease") == 0)
+    return Request->answer(
+        net::makeResponse(200, R"({"lease":7,"ttl_s_time":600})"));
+  if (Target.find("/api/kv-txn") == 0)
+    return write(Request);
+  Request->answer(net::makeResponse(404));
+}
+
+void platform_stand_in::impl::list(const pending &Request,
+                                   const std::string &Target) {
+  const std::string Prefix = queryField(Target, "path_prefix");
+  json Found = json::array();
+  for (const auto &[Key, Item] : Items)
+    if (!Item.Deleted && Key.compare(0, Prefix.size(), Prefix) == 0)
+      Found.push_back({{"key", Key},
+                       {"value", base::encodeBase64(Item.Value)},
+                       {"revision", Item.Revision}});
+  Request->answer(net::makeResponse(
+      200,
+      json{{"items", Found}, {"has_more", false}, {"as_of", Revision}}.dump()));
+}
+
+bool platform_stand_in::impl::answerEvents(const pending &Request,
+                                           std::uint64_t After) {
+  json Events = json::array();
+  for (const auto &[Key, Item] : Items) {
+    if (Item.Revision <= After)
+      continue;
+    json Event = {{"key", Key}, {"revision", Item.Revision}};
+    if (Item.Deleted)
+      Event["deleted"] = true;
+    else
+      Event["value"] = base::encodeBase64(Item.Value);
+    Events.push_back(Event);
+  }
+  if (Events.empty())
+    return false;
+  Request->answer(net::makeResponse(
+      200, json{{"events", Events}, {"as_of", Revision}}.dump()));
+  return true;
+}
+
+void platform_stand_in::impl::watch(const pending &Request,
+                                    const std::string &Target) {
+  const std::uint64_t After = std::stoull(queryField(Target, "after"));
+  if (answerEvents(Request, After))
+    return;
+  const auto Timer = std::make_shared<boost::asio::steady_timer>(
+      Loop,
+      std::chrono::milliseconds(std::stoul(queryField(Target, "wait_ms"))));
+  Timer->async_wait([this, Request](auto Failure) {
+    if (!Failure)
+      Request->answer(net::makeResponse(
+          200, json{{"events", json::array()}, {"as_of", Revision}}.dump()));
+  });
+  Watches.push_back({Request, After, Timer});
+}
+
+void platform_stand_in::impl::write(const pending &Request) {
+  const json Body = json::parse(Request->request().body());
+  for (const json &Write : Body["writes"])
+    put(Write["key"], *base::decodeBase64(Write["value"].get<std::string>()),
+        false);
+  Request->answer(net::makeResponse(200, json{{"revision", Revision}}.dump()));
+}
+
+int platform_stand_in::impl::put(const std::string &Key,
+                                 const std::string &Value, bool Deleted) {
+  Items[Key] = {Value, ++Revision, Deleted};
+  const auto Waiting = std::move(Watches);
+  Watches.clear();
+  for (const waiting_watch &Watch : Waiting)
+    if (TurnsAllAway)
+      Watch.Request->answer(net::makeResponse(503));
+    else
+      answerEvents(Watch.Request, Watch.After);
+  return 0;
+}
+
+void platform_stand_in::impl::handleTarget(stand_in_target &Target,
+                                           const pending &Request) {
+  const auto &Message = Request->request();
+  if (Message["Skylarkdyke-Expected-Instance"] != Target.Id)
+    return Request->answer(net::makeResponse(421));
+  const std::string RequestId(Message["Skylarkdyke-Request-Id"]);
+  ++Target.Runs;
+  ++Runs[RequestId];
+  if (Target.LosesAnswers)
+    return Request->abandon();
+  const auto Timer =
+      std::make_shared<boost::asio::steady_timer>(Loop, Target.Work);
+  Timer->async_wait([Timer, Request, RequestId](auto) {
+    auto Response = net::makeResponse(200, "answer to " + RequestId);
+    Response.set("Skylarkdyke-Request-Id", RequestId);
+    Response.set("Skylarkdyke-Response-Signature", "signed");
+    Response.set("Skylarkdyke-Server-Load", "1,0,4");
+    Request->answer(std::move(Response));
+  });
+}
+
+int platform_stand_in::impl::publish(stand_in_target &Target,
+                                     const std::string &State) {
+  return put(
+      "servers/" + Target.Id,
+      json{{"address", base::toString(Target.Address)},
+           {"born", 1},
+           {"info",
+            {{"service", Target.Service},
+             {"version", "v1"},
+             {"zone", Target.Zone},
+             {"capacity", 4}}},
+           {"status",
+            {{"state", State}, {"sequence", 1}, {"cold_remaining_s", 0}}}}
+          .dump(),
+      false);
+}
+
+platform_stand_in::platform_stand_in() : Impl(std::make_unique<impl>()) {}
+platform_stand_in::~platform_stand_in() = default;
+
+base::endpoint platform_stand_in::storeAddress() const { return Impl->Address; }
+
+void platform_stand_in::put(const std::string &Key, const std::string &Value) {
+  Impl->onLoop([&] { return Impl->put(Key, Value, false); });
+}
+
+void platform_stand_in::remove(const std::string &Key) {
+  Impl->onLoop([&] { return Impl->put(Key, "", true); });
+}
+
+void platform_stand_in::turnAllAway() {
+  Impl->onLoop([&] { return Impl->TurnsAllAway = true; });
+}
+
+void platform_stand_in::addTarget(const std::string &Id,
+                                  const std::string &Service,
+                                  const std::string &Zone,
+                                  std::chrono::milliseconds Work) {
+  Impl->onLoop([&] {
+    auto &Target = Impl->Targets[Id];
+    Target = std::make_unique<stand_in_target>();
+    Target->Id = Id;
+    Target->Service = Service;
+    Target->Zone = Zone;
+    Target->Work = Work;
+    Target->Address = {"127.0.0.1", freePort()};
+    stand_in_target *Raw = Target.get();
+    Target->Server = std::make_unique<net::http_server>(
+        Impl->Loop, 1000, [] { return net::server_limits(); },
+        [this, Raw](const pending &Request) {
+          Impl->handleTarget(*Raw, Request);
+        });
+    Target->Server->listen(Target->Address);
+    return Impl->publish(*Target, "ready");
+  });
+}
+
+void platform_stand_in::loseAnswers(const std::string &Id) {
+  Impl->onLoop([&] { return Impl->Targets.at(Id)->LosesAnswers = true; });
+}
+
+void platform_stand_in::setState(const std::string &Id,
+                                 const std::string &State) {
+  Impl->onLoop([&] { return Impl->publish(*Impl->Targets.at(Id), State); });
+}
+
+std::map<std::string, int> platform_stand_in::runs() const {
+  return Impl->onLoop([&] { return Impl->Runs; });
+}
+
+int platform_stand_in::runsAt(const std::string &Id) const {
+  return Impl->onLoop([&] { return Impl->Targets.at(Id)->Runs; });
+}
+
+} // namespace test_support
--- /dev/null
+++ b/tests/support/platform_stand_in.hpp
@@ -0,0 +1,57 @@
+#ifndef SKYLARKDYKE_TESTS_SUPPORT_PLATFORM_STAND_IN_HPP
+#define SKYLARKDYKE_TESTS_SUPPORT_PLATFORM_STAND_IN_HPP
+
+#include "skylarkdyke/base/endpoint.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace test_support {
+
+/// \brief Stand-in for the platform: its store and some targets, on a thread of
+/// its own. All calls are thread-safe.
+class platform_stand_in {
+public:
+  platform_stand_in();
+  ~platform_stand_in();
+  platform_stand_in(const platform_stand_in &) = delete;
+  platform_stand_in &operator=(const platform_stand_in &) = delete;
+
+  skylarkdyke::base::endpoint storeAddress() const;
+
+  /// \brief Writes an item; watches see it.
+  void put(const std::string &Key, const std::string &Value);
+  void remove(const std::string &Key);
+
+  /// \brief From now on the store answers 503 to everybody.
+  void turnAllAway();
+
+  /// \brief Starts a target and registers it.
+  /// \param Work time that each request takes
+  void addTarget(const std::string &Id, const std::string &Service,
+                 const std::string &Zone, std::chrono::milliseconds Work);
+
+  /// \brief From now on the target closes each connection in place of an
+  /// answer, after it has run the request.
+  void loseAnswers(const std::string &Id);
+
+  /// \brief Registers a target again in another state.
+  void setState(const std::string &Id, const std::string &State);
+
+  /// \brief How often each request id has run, over all targets.
+  std::map<std::string, int> runs() const;
+
+  /// \brief Requests that a target has run.
+  int runsAt(const std::string &Id) const;
+
+private:
+  struct impl;
+  std::unique_ptr<impl> Impl;
+};
+
+} // namespace test_support
+
+#endif
--- /dev/null
+++ b/tests/system-serve.cpp
@@ -0,0 +1,254 @@
+#include "skylarkdyke/http/client.hpp"
+#include "support/free_port.hpp"
+#include "support/platform_stand_in.hpp"
+#include "support/process.hpp"
+#include "support/raw_client.hpp"
+#include "support/wait_until.hpp"
+
+#include <atomic>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <thread>
+
+// Last, because it redefines "new".
+#include <CppUTest/TestHarness.h>
+
+using namespace skylarkdyke;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One entry process with its addresses.
+struct served_entry {
+  base::endpoint Front;
+  base::endpoint Readiness;
+  base::endpoint Directory;
+  base::endpoint Mesh;
+  std::string SettingsFile;
+  std::optional<test_support::process> Process;
+};
+
+} // namespace
+
+static std::string settingsOf(const served_entry &Entry,
+                              const std::string &Name,
+                              const base::endpoint &Store,
+                              const base::endpoint &Seed) {
+  std::ostringstream Text;
+  Text << "[self]\nnode_name = \"" << Name << "\"\nzone = \"z\"\n"
+       << "region = \"r\"\n[self.limits]\ncpu_share = 0.2\nmax_fds = 1000\n"
+       << "[network]\nseeds = [\"" << base::toString(Seed) << "\"]\n"
+       << "[network.bind]\nfront = \"" << base::toString(Entry.Front)
+       << "\"\nreadiness = \"" << base::toString(Entry.Readiness)
+       << "\"\ncontrol = \"" << base::toString(Entry.Mesh)
+       << "\"\ndirectory = \"" << base::toString(Entry.Directory)
+       << "\"\n[network.zones]\nz = \"r\"\n[provider.provider]\naddress = \""
+       << base::toString(Store)
+       << "\"\n[terms.bounds]\ngrace_s = 4\nretry_budget_ratio = 0.2\n"
+       << "retry_slack = 60\n";
+  return Text.str();
+}
+
+static std::string configuration(int Version, const char *Service) {
+  return R"({"version":"r)" + std::to_string(Version) +
+         R"(","routes":{"columns":["name","host","path_prefix","kind",
+"timeout_s","target_latency_s","priority","service","max_attempts","sticky"],
+"rows":[["safe","h.example","/safe/","safe",3,1,1,")" +
+         Service + R"(",2,true],
+["once","h.example","/once/","unsafe",3,1,1,")" +
+         Service + R"(",2,true]]},"services":{"columns":["name","health_path",
+"max_connections","cold_start_s","cold_per_s"],"rows":[["orders","/healthz",
+300,1,10],["stock","/healthz",300,1,10]]}})";
+}
+
+TEST_GROUP(system_serve) {
+  test_support::platform_stand_in Platform;
+  std::vector<served_entry> Entries;
+  std::filesystem::path Folder;
+  std::atomic<int> NextId{0};
+
+  void setup() override {
+    Folder = std::filesystem::temp_directory_path() /
+             ("skylarkdyke-serve-" + std::to_string(getpid()));
+    std::filesystem::create_directories(Folder);
+    Platform.put("op/config", configuration(2, "orders"));
+    for (const char *Id : {"o1", "o2"})
+      Platform.addTarget(Id, "orders", "z", 30ms);
+    Platform.addTarget("s1", "stock", "z", 30ms);
+  }
+  void teardown() override {
+    Entries.clear();
+    std::filesystem::remove_all(Folder);
+  }
+
+  void startEntries(int Count) {
+    for (int I = 0; I < Count; ++I) {
+      served_entry &Entry = Entries.emplace_back();
+      for (auto *Address :
+           {&Entry.Front, &Entry.Readiness, &Entry.Directory, &Entry.Mesh})
+        *Address = {"127.0.0.1", test_support::freePort()};
+    }
+    for (served_entry &Entry : Entries) {
+      const std::string Name = "e" + std::to_string(&Entry - Entries.data());
+      Entry.SettingsFile = (Folder / (Name + ".toml")).string();
+      std::ofstream(Entry.SettingsFile)
+          << settingsOf(Entry, Name, Platform.storeAddress(), Entries[0].Mesh);
+      Entry.Process.emplace(
+          std::vector<std::string>{"serve", Entry.SettingsFile},
+          (Folder / (Name + ".log")).string());
+    }
+    for (const served_entry &Entry : Entries)
+      CHECK_TRUE(test_support::waitUntil(
+          [&] { return ask(Entry.Readiness, "GET", "/api/readyz") == 200; },
+          5s));
+  }
+
+  int ask(const base::endpoint &Address, const char *Method,
+          const std::string &Target, std::string *Body = nullptr) {
+    http::request Request;
+    Request.Method = Method;
+    Request.Target = Target;
+    Request.Headers["Skylarkdyke-Request-Id"] = std::to_string(++NextId);
+    Request.Headers["Skylarkdyke-Request-Deadline"] = "2000";
+    Request.Headers["Skylarkdyke-Affinity-Key"] = std::to_string(NextId % 5);
+    const auto Answer = http::fetch(Address, Request,
+                                    {base::boot_clock::now() + 4s, 1U << 20U});
+    if (!Answer)
+      return 0;
+    if (Body != nullptr)
+      *Body = Answer.value().Body;
+    return Answer.value().Status;
+  }
+};
+
+/// Sends one request to a route on a connection of its own.
+/// \return the status, or 0 if the connection closed without an answer
+static int askRoute(const base::endpoint &Address, const std::string &Id,
+                    const std::string &Method, const std::string &Path,
+                    std::string &Answer) {
+  const test_support::raw_client Client(Address);
+  Client.send(Method + " " + Path +
+              " HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\n"
+              "Connection: close\r\nSkylarkdyke-Request-Id: " +
+              Id + "\r\nSkylarkdyke-Request-Deadline: 2500\r\n\r\n");
+  Answer.clear();
+  test_support::waitUntil(
+      [&] {
+        Answer += Client.receive();
+        return Client.isClosed();
+      },
+      4s);
+  if (Answer.compare(0, 9, "HTTP/1.1 ") != 0)
+    return 0;
+  return std::stoi(Answer.substr(9, 3));
+}
+
+// Guards against a path that is broken anywhere between caller and target.
+TEST(system_serve, ServesRequestsThroughTheDirectory) {
+  startEntries(2);
+  std::string Body;
+  LONGS_EQUAL(200, ask(Entries[0].Directory, "GET",
+                       "/api/resolve?name=h.example&region=r&zone=z", &Body));
+  const auto Front = base::parseEndpoint(
+      nlohmann::json::parse(Body)["addresses"][0].get<std::string>());
+  CHECK_TRUE(Front.has_value());
+  std::string Answer;
+  LONGS_EQUAL(200, askRoute(*Front, "a1", "GET", "/safe/x?y=z", Answer));
+  CHECK_TRUE(Answer.find("Skylarkdyke-Response-Signature: signed") !=
+             std::string::npos);
+  CHECK_TRUE(Answer.find("answer to a1") != std::string::npos);
+  LONGS_EQUAL(404, askRoute(*Front, "a2", "GET", "/unknown/", Answer));
+}
+
+// Guards against orders that run twice when the answer of a target is lost.
+TEST(system_serve, ALostAnswerNeverRepeatsAnOrder) {
+  startEntries(1);
+  Platform.loseAnswers("o1");
+  Platform.loseAnswers("o2");
+  std::string Answer;
+  for (int I = 0; I < 10; ++I) {
+    const int Status = askRoute(Entries[0].Front, "o" + std::to_string(I),
+                                "POST", "/once/x", Answer);
+    CHECK_TRUE(Status == 502 || Status == 503);
+    const int Runs = Platform.runs()["o" + std::to_string(I)];
+    LONGS_EQUAL(Status == 503 ? 0 : 1, Runs);
+  }
+}
+
+// Guards against work for a target that is leaving.
+TEST(system_serve, ADrainingTargetGetsNothingSoon) {
+  startEntries(1);
+  Platform.setState("o1", "draining");
+  std::this_thread::sleep_for(1s);
+  const int Before = Platform.runsAt("o1");
+  std::string Answer;
+  for (int I = 0; I < 20; ++I)
+    LONGS_EQUAL(200, askRoute(Entries[0].Front, "d" + std::to_string(I), "GET",
+                              "/safe/x", Answer));
+  LONGS_EQUAL(Before, Platform.runsAt("o1"));
+}
+
+// Guards against a configuration that is not applied, or goes back after a
+// restart while the store is away: the state comes from another entry.
+TEST(system_serve, AnEntryStartsWithoutTheStoreFromAnother) {
+  startEntries(2);
+  Platform.put("op/config", configuration(5, "stock"));
+  std::string Answer;
+  CHECK_TRUE(test_support::waitUntil(
+      [&] {
+        askRoute(Entries[1].Front, "c" + std::to_string(++NextId), "GET",
+                 "/safe/x", Answer);
+        return Platform.runsAt("s1") > 0;
+      },
+      3s));
+  Platform.turnAllAway();
+  Entries[1].Process->kill();
+  Entries[1].Process.emplace(
+      std::vector<std::string>{"serve", Entries[1].SettingsFile},
+      (Folder / "again.log").string());
+  CHECK_TRUE(test_support::waitUntil(
+      [&] { return ask(Entries[1].Readiness, "GET", "/api/readyz") == 200; },
+      5s));
+  const int Before = Platform.runsAt("s1");
+  LONGS_EQUAL(200,
+              askRoute(Entries[1].Front, "after", "GET", "/safe/x", Answer));
+  LONGS_EQUAL(Before + 1, Platform.runsAt("s1"));
+}
+
+// Guards against a planned stop that cuts requests or keeps running.
+TEST(system_serve, AStopCutsNoRequest) {
+  startEntries(1);
+  std::atomic<bool> Stop{false};
+  std::atomic<int> Cut{0};
+  std::atomic<int> Served{0};
+  std::vector<std::thread> Callers;
+  for (int Caller = 0; Caller < 4; ++Caller)
+    Callers.emplace_back([&, Caller] {
+      std::string Answer;
+      for (int I = 0; !Stop; ++I) {
+        const int Status =
+            askRoute(Entries[0].Front,
+                     "s" + std::to_string(Caller) + "-" + std::to_string(I),
+                     "GET", "/safe/x", Answer);
+        Served += Status == 200 ? 1 : 0;
+        Cut += Status == 0 && !Answer.empty() ? 1 : 0;
+      }
+    });
+  std::this_thread::sleep_for(300ms);
+  Entries[0].Process->signal(SIGTERM);
+  const auto Exit = Entries[0].Process->waitFor(4s);
+  Stop = true;
+  for (std::thread &Caller : Callers)
+    Caller.join();
+  CHECK_TRUE(Exit.has_value());
+  LONGS_EQUAL(0, *Exit);
+  LONGS_EQUAL(0, Cut);
+  CHECK_TRUE(Served > 20);
+  int Answered = 0;
+  for (const auto &[Id, Runs] : Platform.runs())
+    Answered += Runs;
+  LONGS_EQUAL(Answered, Served);
+}
