--- a/include/skylarkdyke/membership/member_table.hpp
+++ b/include/skylarkdyke/membership/member_table.hpp
@@ -109,10 +109,10 @@
 /// each of these sees most of the load of the targets it uses.
 /// \param RegionOf region of each failure domain
 /// \return front addresses, at most Limit
-std::vector<base::endpoint> entriesForCaller(
-    const std::vector<entry_status> &Ready,
-    const std::map<base::domain_name, base::region_name> &RegionOf,
-    const caller_place &Caller, std::size_t Limit);
+std::vector<base::endpoint>
+entriesForCaller(const std::vector<entry_status> &Ready,
+                 const std::map<base::domain_name, base::region_name> &RegionOf,
+                 const caller_place &Caller, std::size_t Limit);
 
 } // namespace skylarkdyke::membership
 
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -130,10 +130,10 @@
   return Sample;
 }
 
-std::vector<base::endpoint> entriesForCaller(
-    const std::vector<entry_status> &Ready,
-    const std::map<base::domain_name, base::region_name> &RegionOf,
-    const caller_place &Caller, std::size_t Limit) {
+std::vector<base::endpoint>
+entriesForCaller(const std::vector<entry_status> &Ready,
+                 const std::map<base::domain_name, base::region_name> &RegionOf,
+                 const caller_place &Caller, std::size_t Limit) {
   const std::uint64_t HostSeed =
       XXH3_64bits(Caller.Host.data(), Caller.Host.size());
   std::vector<std::pair<std::uint64_t, base::endpoint>> Own;
@@ -142,8 +142,8 @@
     const auto Region = RegionOf.find(Entry.Domain);
     if (Region == RegionOf.end())
       continue;
-    const std::uint64_t Order = XXH3_64bits_withSeed(
-        Entry.Name.data(), Entry.Name.size(), HostSeed);
+    const std::uint64_t Order =
+        XXH3_64bits_withSeed(Entry.Name.data(), Entry.Name.size(), HostSeed);
     const auto &Allowed = Caller.Allowed;
     if (Region->second == Caller.Region)
       Own.emplace_back(Order, Entry.Front);
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -30,8 +30,8 @@
 /// When a target that joined gets its first request: after it is settled.
 static constexpr milliseconds FirstUseAfter{1500};
 /// What the work at a target that is probably not warm for the object costs
-/// other requests there, as a multiple of it when all slots are busy: free slots
-/// are warmed for nothing.
+/// other requests there, as a multiple of it when all slots are busy: free
+/// slots are warmed for nothing.
 static constexpr double CostOfWarming = 1;
 /// Targets that are more probably warm than this are taken for warm.
 static constexpr double ProbablyWarm = 0.5;
--- a/tests/support/raw_client.cpp
+++ b/tests/support/raw_client.cpp
@@ -28,8 +28,7 @@
 }
 
 void raw_client::send(const std::string &Bytes) const {
-  const ssize_t Sent =
-      ::send(Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+  const ssize_t Sent = ::send(Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
   (void)Sent;
 }
 
