Divide objects among regions by what the targets do

The region's slots counted in full although its targets were failing or slow, so its objects stayed. Ruled out: a stale configuration (all entries had version 5) and missing targets (the reason is no_room). Change: ejected targets count for nothing and slow ones in proportion; the share moves 5% a second at most (3% before). Test: placement_placer.ARegionWhoseTargetsFailGivesObjectsAway failed before.

--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -17,7 +17,7 @@
 /// Part of a region's surplus of objects that moves to other regions.
 static constexpr double GivenSurplus = 0.9;
 /// Largest part of a region's requests that changes regions per second.
-static constexpr double MaxShiftPerSecond = 0.03;
+static constexpr double MaxShiftPerSecond = 0.05;
 /// Round trip assumed to another region before one was measured.
 static constexpr milliseconds AssumedRoundTrip{80};
 static constexpr double RoundTripWeight = 0.2;
@@ -104,8 +104,9 @@
     if (!isAllowed(*Query.Route, State->Region))
       continue;
     region_balance &Balance = Balances[State->Region];
-    if (Book.takesWork(*State, Now))
-      Balance.Slots += State->Target.Slots;
+    // Slow targets count for what they do; failing ones for nothing.
+    if (Book.takesWork(*State, Now) && State->EjectedUntil <= Now)
+      Balance.Slots += State->Target.Slots / std::max(1.0, State->Slowness);
   }
   const auto Known = Demand.find(Query.Service->Name);
   for (auto &[Region, Balance] : Balances)
--- a/tests/unit-placement-placer.cpp
+++ b/tests/unit-placement-placer.cpp
@@ -164,6 +164,29 @@
   STRCMP_EQUAL(Bad.c_str(), choose(query(1)).c_str());
 }
 
+// Guards against a region that keeps its objects although its targets fail:
+// refused in the incident bc9a while other regions had free slots.
+TEST(placement_placer, ARegionWhoseTargetsFailGivesObjectsAway) {
+  addTargets(2, NorthA);
+  addTargets(4, SouthA);
+  Placer.setDemand(Stock, {{North, 10}, {base::region_name("south"), 20}});
+  const auto CountAway = [&] {
+    int Away = 0;
+    for (std::uint64_t Object = 1; Object <= 100; ++Object)
+      Away += choose(query(Object)).find("south") == 0 ? 1 : 0;
+    return Away;
+  };
+  LONGS_EQUAL(0, CountAway());
+  for (int Second = 0; Second < 20; ++Second, Now += 1s) {
+    for (int I = 0; I < 4; ++I) {
+      Book.beginSend(base::target_id("north-a0"), Now);
+      Book.endSend(base::target_id("north-a0"), send_result::Broken, 0ms, Now);
+    }
+    CountAway();
+  }
+  CHECK(CountAway() >= 20);
+}
+
 // Guards against requests that wait although they cannot be served in time.
 TEST(placement_placer, RefusesAtOnceWhatWouldBeTooLate) {
   addTargets(1, NorthA);
