--- a/include/skylarkdyke/base/event.hpp
+++ b/include/skylarkdyke/base/event.hpp
@@ -56,6 +56,7 @@
   IncarnationSealed = 503,
   OwnerSealed = 504,
   RequestEnded = 505,
+  SendFailed = 506,
 
   // 600: operators
   OperatorDenied = 600,
--- a/include/skylarkdyke/cli/commands.hpp
+++ b/include/skylarkdyke/cli/commands.hpp
@@ -51,6 +51,13 @@
 /// before.
 void waitForStopSignal();
 
+/// \brief Prints what the structured logs of one or more entries say of a
+/// request, in time order.
+/// \param Arguments the request's id, then log files; none: standard input
+/// \return ExitRefused if no line names the request, ExitUnreachable if a file
+/// cannot be read
+int explainRequest(const arguments &Arguments);
+
 } // namespace skylarkdyke::cli
 
 #endif
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -26,6 +26,9 @@
   static const std::map<std::string, command> Commands = {
       {"serve",
        {&adapter::serve, "[SETTINGS.toml]: run an entry on the platform"}},
+      {"explain",
+       {&cli::explainRequest,
+        "REQUEST-ID [LOG...]: tell what became of a request"}},
       {"run", {&cli::runEntry, "SETTINGS.toml: run an entry"}},
       {"check", {&cli::checkSettings, "SETTINGS.toml: check a settings file"}},
       {"config",
--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -236,6 +236,7 @@
   TimedOut = TimedOut || Kind == send_result::TimedOut;
   if (Done)
     return;
+  logFailedSend(Attempt, Reason, MayHaveRunNow);
   onFailure(Reason, MayHaveRunNow);
 }
 
@@ -353,6 +354,23 @@
   answer(std::move(Response), Reason.c_str());
 }
 
+void exchange::logFailedSend(const attempt &Attempt, const std::string &Reason,
+                             bool MayHaveRunNow) {
+  const auto Now = base::boot_clock::now();
+  const std::string RequestId = header(Context.Headers.RequestId);
+  const placement::target_state *State = Context.Book.find(Attempt.Chosen.Id);
+  SKYLARKDYKE_DECISION(
+      Context.Log, SendFailed, Now,
+      {{"request", RequestId},
+       {"target", Attempt.Chosen.Id.str()},
+       {"reason", Reason},
+       {"may_have_run", MayHaveRunNow},
+       {"expected_load", Attempt.Chosen.ExpectedLoad},
+       {"warm", Attempt.Chosen.Warm},
+       {"took_ms", nanoseconds(Now - Attempt.SentAt)},
+       {"ejected", State != nullptr && State->EjectedUntil > Now}});
+}
+
 void exchange::log(unsigned Status, const char *Outcome) {
   const auto Now = base::boot_clock::now();
   const std::string RequestId = header(Context.Headers.RequestId);
--- a/src/gateway/detail/exchange.hpp
+++ b/src/gateway/detail/exchange.hpp
@@ -102,6 +102,8 @@
   void fail(unsigned Status, const std::string &Reason,
             std::optional<std::chrono::nanoseconds> RetryAfter);
   void log(unsigned Status, const char *Outcome);
+  void logFailedSend(const attempt &Attempt, const std::string &Reason,
+                     bool MayHaveRunNow);
   std::string header(const std::string &Name) const;
 
   steering_context &Context;
