--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -12,5 +12,6 @@
 [ ${#missing[@]} -eq 0 ] && exit 0
 sudo=""
 [ "$(id -u)" -eq 0 ] || sudo="sudo"
-$sudo apt-get update -qq
-DEBIAN_FRONTEND=noninteractive $sudo apt-get install -y -qq --no-install-recommends "${missing[@]}" >/dev/null
+# Another apt run may hold the lock for a while.
+$sudo apt-get -o DPkg::Lock::Timeout=300 update -qq
+DEBIAN_FRONTEND=noninteractive $sudo apt-get -o DPkg::Lock::Timeout=300 install -y -qq --no-install-recommends "${missing[@]}" >/dev/null
