--- a/include/skylarkdyke/platform/client.hpp
+++ b/include/skylarkdyke/instances/client.hpp
@@ -1,5 +1,5 @@
-#ifndef SKYLARKDYKE_PLATFORM_CLIENT_HPP
-#define SKYLARKDYKE_PLATFORM_CLIENT_HPP
+#ifndef SKYLARKDYKE_INSTANCES_CLIENT_HPP
+#define SKYLARKDYKE_INSTANCES_CLIENT_HPP
 
 #include "skylarkdyke/base/clock.hpp"
 #include "skylarkdyke/base/endpoint.hpp"
@@ -11,7 +11,7 @@
 #include <variant>
 #include <vector>
 
-namespace skylarkdyke::platform {
+namespace skylarkdyke::instances {
 
 /// \brief An instance of skylarkdyke as the platform lists it. The list lags,
 /// so an instance may be gone or not yet listed.
@@ -59,6 +59,6 @@
 /// \brief Reads the body of the health endpoint's answer.
 list_result parseInstances(const std::string &Body);
 
-} // namespace skylarkdyke::platform
+} // namespace skylarkdyke::instances
 
 #endif
--- a/include/skylarkdyke/platform/instance_poller.hpp
+++ b/include/skylarkdyke/instances/instance_poller.hpp
@@ -1,13 +1,13 @@
-#ifndef SKYLARKDYKE_PLATFORM_INSTANCE_POLLER_HPP
-#define SKYLARKDYKE_PLATFORM_INSTANCE_POLLER_HPP
+#ifndef SKYLARKDYKE_INSTANCES_INSTANCE_POLLER_HPP
+#define SKYLARKDYKE_INSTANCES_INSTANCE_POLLER_HPP
 
-#include "skylarkdyke/platform/client.hpp"
+#include "skylarkdyke/instances/client.hpp"
 
 #include <chrono>
 #include <functional>
 #include <memory>
 
-namespace skylarkdyke::platform {
+namespace skylarkdyke::instances {
 
 /// Pause between two reads of the list.
 inline constexpr std::chrono::milliseconds PollPeriod{2000};
@@ -46,6 +46,6 @@
   std::unique_ptr<impl> Impl;
 };
 
-} // namespace skylarkdyke::platform
+} // namespace skylarkdyke::instances
 
 #endif
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -25,7 +25,7 @@
 static const std::map<std::string, command> &commands() {
   static const std::map<std::string, command> Commands = {
       {"serve",
-       {&adapter::serve, "[SETTINGS.toml]: run an entry on the platform"}},
+       {&platform::serve, "[SETTINGS.toml]: run an entry on the platform"}},
       {"explain",
        {&cli::explainRequest,
         "REQUEST-ID [LOG...]: tell what became of a request"}},
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -10,8 +10,8 @@
 #include "skylarkdyke/entries/crash_exchange.hpp"
 #include "skylarkdyke/entries/loan_exchange.hpp"
 #include "skylarkdyke/entries/witness_service.hpp"
+#include "skylarkdyke/instances/instance_poller.hpp"
 #include "skylarkdyke/operators/admin_service.hpp"
-#include "skylarkdyke/platform/instance_poller.hpp"
 #include "skylarkdyke/store/config_store.hpp"
 #include "skylarkdyke/store/config_watcher.hpp"
 #include "skylarkdyke/store/seat_admin.hpp"
@@ -61,7 +61,7 @@
   bool hasSettled() const;
   void updateReadiness();
   void updateSeat();
-  void dial(const platform::instance_list &List);
+  void dial(const instances::instance_list &List);
   void updateTargets();
   operators::dependencies operatorDependencies();
   std::vector<caps::cap_state> capStates();
@@ -91,7 +91,7 @@
   callers::caller_service Callers;
   store::config_watcher Watcher;
   store::seat_claimer Seat;
-  platform::instance_poller Instances;
+  instances::instance_poller Instances;
   targets::prober Prober;
   http::server CallerServer;
   operators::admin_service Admin;
@@ -123,7 +123,7 @@
               [this](const auto &Document) { installed(Document); }),
       Seat(Store, {}, Identity.current().Incarnation, Settings.Name),
       Instances(Settings.Platform,
-                [this](const platform::instance_list &List) { dial(List); }),
+                [this](const instances::instance_list &List) { dial(List); }),
       Prober([this](const targets::probe_result &Result) {
         Callers.reportProbe(Result);
         Loads.setTarget(Result);
@@ -234,9 +234,9 @@
 
 /// The platform lists instances by their peer address. The list lags, so it
 /// only tells whom to dial; the mesh decides who is reachable.
-void entry::impl::dial(const platform::instance_list &List) {
+void entry::impl::dial(const instances::instance_list &List) {
   std::vector<base::endpoint> Addresses;
-  for (const platform::instance &Instance : List.Instances)
+  for (const instances::instance &Instance : List.Instances)
     if (!Instance.IsLeaving)
       Addresses.push_back(Instance.Address);
   Mesh.addAddresses(Addresses);
--- a/src/platform/client.cpp
+++ b/src/instances/client.cpp
@@ -1,4 +1,4 @@
-#include "skylarkdyke/platform/client.hpp"
+#include "skylarkdyke/instances/client.hpp"
 
 #include "skylarkdyke/http/client.hpp"
 
@@ -6,7 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 
-namespace skylarkdyke::platform {
+namespace skylarkdyke::instances {
 
 using nlohmann::json;
 
@@ -116,4 +116,4 @@
   return unavailable{"not reached"};
 }
 
-} // namespace skylarkdyke::platform
+} // namespace skylarkdyke::instances
--- a/src/platform/instance_poller.cpp
+++ b/src/instances/instance_poller.cpp
@@ -1,4 +1,4 @@
-#include "skylarkdyke/platform/instance_poller.hpp"
+#include "skylarkdyke/instances/instance_poller.hpp"
 
 #include "skylarkdyke/base/event.hpp"
 #include "skylarkdyke/http/stop_source.hpp"
@@ -7,7 +7,7 @@
 #include <mutex>
 #include <thread>
 
-namespace skylarkdyke::platform {
+namespace skylarkdyke::instances {
 
 using namespace std::chrono_literals;
 
@@ -99,4 +99,4 @@
   return Impl->Latest;
 }
 
-} // namespace skylarkdyke::platform
+} // namespace skylarkdyke::instances
--- a/tests/unit-platform-instances.cpp
+++ b/tests/unit-instances.cpp
@@ -1,5 +1,5 @@
 #include "skylarkdyke/http/client.hpp"
-#include "skylarkdyke/platform/instance_poller.hpp"
+#include "skylarkdyke/instances/instance_poller.hpp"
 #include "support/store_fixture.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -31,7 +31,7 @@
 // Guards against a list without its lag in tests, a missed mark of a leaving
 // instance, and a poller that forgets the list in an outage or holds up a stop.
 TEST(platform_instances, PollsTheLaggingList) {
-  platform::instance_poller Poller(Address, {}, 10ms);
+  instances::instance_poller Poller(Address, {}, 10ms);
   Poller.start();
   const auto RegisteredAt = base::boot_clock::now();
   put("/v1/agent/service/register",
@@ -64,8 +64,9 @@
 // Guards against one malformed item that hides all others, and against trust in
 // an answer of another form.
 TEST(platform_instances, SkipsMalformedItems) {
-  const auto List = std::get<platform::instance_list>(platform::parseInstances(
-      R"([7, {"Service":{"ID":"a","Address":"nowhere","Port":1}},
+  const auto List =
+      std::get<instances::instance_list>(instances::parseInstances(
+          R"([7, {"Service":{"ID":"a","Address":"nowhere","Port":1}},
           {"Service":{"ID":"b","Address":"127.0.0.1","Port":70000}},
           {"Node":{"Address":"127.0.0.2"},"Service":{"ID":"c","Port":9},
            "Checks":[{"Status":"critical"}]}])"));
@@ -73,6 +74,6 @@
   CHECK_EQUAL(1u, List.Instances.size());
   STRCMP_EQUAL("127.0.0.2", List.Instances[0].Address.Address.c_str());
   CHECK_TRUE(List.Instances[0].IsLeaving);
-  CHECK_TRUE(std::holds_alternative<platform::unavailable>(
-      platform::parseInstances("{}")));
+  CHECK_TRUE(std::holds_alternative<instances::unavailable>(
+      instances::parseInstances("{}")));
 }
--- a/tests/unit-adapter-wire.cpp
+++ b/tests/unit-platform-wire.cpp
@@ -22,10 +22,10 @@
 "limits":{"max_header_bytes":1000,"max_body_bytes":2000,"header_timeout_s":3,
 "idle_timeout_s":15}})";
 
-TEST_GROUP(adapter_wire){
+TEST_GROUP(platform_wire){
     template <class Change>
     Change decode(const std::string &Key, const std::string &Value){
-        const auto Decoded = adapter::decodeItem(Key, Value);
+        const auto Decoded = platform::decodeItem(Key, Value);
 CHECK(Decoded &&std::holds_alternative<Change>(*Decoded));
 return std::get<Change>(*Decoded);
 }
@@ -34,8 +34,8 @@
 
 // Guards against requests that may run once only and are taken for repeatable
 // ones, and against cells that are null.
-TEST(adapter_wire, DecodesRoutesAndServices) {
-  const auto Decoded = adapter::decodeConfiguration(Configuration);
+TEST(platform_wire, DecodesRoutesAndServices) {
+  const auto Decoded = platform::decodeConfiguration(Configuration);
   CHECK(Decoded.has_value());
   const auto &Given = Decoded.value();
   LONGS_EQUAL(7, Given.Version);
@@ -53,8 +53,8 @@
 }
 
 // Guards against a version that leaves out columns which no row uses.
-TEST(adapter_wire, ColumnsMayBeMissing) {
-  const auto Decoded = adapter::decodeConfiguration(
+TEST(platform_wire, ColumnsMayBeMissing) {
+  const auto Decoded = platform::decodeConfiguration(
       R"({"version":"r2","routes":{"columns":["name","host","path_prefix",
       "service"],"rows":[["a","h","/a/","orders"]]},
       "services":{"columns":["name"],"rows":[["orders"]]}})");
@@ -64,9 +64,9 @@
 
 // Guards against a broken document that is put in force, and reports that name
 // no place.
-TEST(adapter_wire, RefusesBrokenConfigurations) {
-  CHECK(!adapter::decodeConfiguration("{\"version\":\"r2\""));
-  const auto Decoded = adapter::decodeConfiguration(
+TEST(platform_wire, RefusesBrokenConfigurations) {
+  CHECK(!platform::decodeConfiguration("{\"version\":\"r2\""));
+  const auto Decoded = platform::decodeConfiguration(
       R"({"version":"2","routes":{"columns":["name"],"rows":[["a"]]}})");
   CHECK(!Decoded);
   CHECK(Decoded.error().size() >= 3);
@@ -74,7 +74,7 @@
 }
 
 // Guards against targets of another writer whose records cannot be used.
-TEST(adapter_wire, DecodesTargetsAndPassesOverForeignRecords) {
+TEST(platform_wire, DecodesTargetsAndPassesOverForeignRecords) {
   const auto Published = decode<routing::target_published>(
       "servers/i-1",
       R"({"address":"10.0.0.9:80","born":1700000000123,"info":{"service":"s",
@@ -94,17 +94,17 @@
 }
 
 // Guards against evacuations that are overlooked or never end.
-TEST(adapter_wire, DecodesEvacuations) {
+TEST(platform_wire, DecodesEvacuations) {
   CHECK(decode<routing::evacuation_started>("op/evacuate/waw-a", "{}")
             .Domain.str() == "waw-a");
-  const auto Ended = adapter::decodeRemoval("op/evacuate/waw-a");
+  const auto Ended = platform::decodeRemoval("op/evacuate/waw-a");
   CHECK(Ended && std::holds_alternative<routing::evacuation_ended>(*Ended));
-  CHECK(!adapter::decodeItem("op/else", "{}"));
+  CHECK(!platform::decodeItem("op/else", "{}"));
 }
 
 // Guards against directory questions that are read wrongly.
-TEST(adapter_wire, ReadsDirectoryQuestions) {
-  const auto Protocol = adapter::callerProtocol();
+TEST(platform_wire, ReadsDirectoryQuestions) {
+  const auto Protocol = platform::callerProtocol();
   const auto Question =
       Protocol.ReadQuestion("/api/resolve?zone=z%2D1&name=h.example&region=r");
   CHECK(Question.has_value());
@@ -117,8 +117,8 @@
 }
 
 // Guards against settings that are wrong and go unnoticed.
-TEST(adapter_wire, ChecksSettings) {
-  const auto Settings = adapter::parseNodeSettings(R"(
+TEST(platform_wire, ChecksSettings) {
+  const auto Settings = platform::parseNodeSettings(R"(
 [self]
 node_name = "n"
 zone = "z"
@@ -141,19 +141,19 @@
 retry_budget_ratio = 0.2
 grace_s = 6
 )",
-                                                   "node.toml");
+                                                    "node.toml");
   CHECK(Settings.has_value());
   CHECK(Settings.value().Gateway.StopGrace == 6s);
   DOUBLES_EQUAL(0.2, Settings.value().Gateway.ProcessorShare, 1e-9);
   LONGS_EQUAL(7620, Settings.value().Gateway.Metrics->Port);
-  const auto Wrong = adapter::parseNodeSettings("[self]\nzone = \"z\"\n", "f");
+  const auto Wrong = platform::parseNodeSettings("[self]\nzone = \"z\"\n", "f");
   CHECK(!Wrong);
   CHECK(Wrong.error().size() >= 4);
-  CHECK(!adapter::parseNodeSettings("[self", "f"));
+  CHECK(!platform::parseNodeSettings("[self", "f"));
 }
 
 // Guards against names of the platform's wire outside its folder.
-TEST(adapter_wire, WireNamesStandOnlyInTheAdapter) {
+TEST(platform_wire, WireNamesStandOnlyInTheAdapter) {
   const std::vector<std::string> Names = {
       "kv-range",     "kv-watch",     "kv-txn",      "op/config",
       "op/evacuate",  "heartbeat_s",  "api/resolve", "api/readyz",
