--- a/include/skylarkdyke/net/http_server.hpp
+++ b/include/skylarkdyke/net/http_server.hpp
@@ -1,6 +1,7 @@
 #ifndef SKYLARKDYKE_NET_HTTP_SERVER_HPP
 #define SKYLARKDYKE_NET_HTTP_SERVER_HPP
 
+#include "skylarkdyke/base/message_limits.hpp"
 #include "skylarkdyke/net/http_channel.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -11,14 +12,6 @@
 
 namespace skylarkdyke::net {
 
-/// \brief Bounds on what a peer may send and how long it may take.
-struct server_limits {
-  std::size_t MaxHeaderBytes = 16384;
-  std::size_t MaxBodyBytes = 1048576;
-  std::chrono::milliseconds HeaderTimeout{3000};
-  std::chrono::milliseconds IdleTimeout{15000};
-};
-
 /// \brief One request that waits for its answer.
 ///
 /// Not thread-safe: all calls come from the loop's thread.
@@ -48,7 +41,7 @@
 
   /// \param Limits asked for each request, so that a change applies at once
   http_server(boost::asio::io_context &Loop, std::size_t MaxConnections,
-              std::function<server_limits()> Limits, handler OnRequest);
+              std::function<base::message_limits()> Limits, handler OnRequest);
   ~http_server();
 
   /// \brief Listens on an address.
--- a/include/skylarkdyke/routing/route.hpp
+++ b/include/skylarkdyke/routing/route.hpp
@@ -1,6 +1,7 @@
 #ifndef SKYLARKDYKE_ROUTING_ROUTE_HPP
 #define SKYLARKDYKE_ROUTING_ROUTE_HPP
 
+#include "skylarkdyke/base/message_limits.hpp"
 #include "skylarkdyke/base/names.hpp"
 
 #include <chrono>
@@ -60,20 +61,13 @@
   double ColdRequestsPerSecond = 0;
 };
 
-/// \brief Bounds on what a caller may send and how long it may take.
-struct caller_limits {
-  std::size_t MaxHeaderBytes = 16384;
-  std::size_t MaxBodyBytes = 1048576;
-  std::chrono::milliseconds HeaderTimeout{3000};
-  std::chrono::milliseconds IdleTimeout{15000};
-};
-
 /// \brief One version of the operators' configuration.
 struct configuration {
   std::uint64_t Version = 0;
   std::vector<route> Routes;
   std::vector<service> Services;
-  caller_limits Limits;
+  /// Bounds on what callers may send.
+  base::message_limits Limits;
 };
 
 } // namespace skylarkdyke::routing
--- a/src/gateway/detail/mesh_link.cpp
+++ b/src/gateway/detail/mesh_link.cpp
@@ -24,7 +24,7 @@
       OwnStatus(std::move(OwnStatus)), OnMember(std::move(OnMember)),
       Socket(Loop),
       Server(
-          Loop, MaxMeshConnections, [] { return net::server_limits(); },
+          Loop, MaxMeshConnections, [] { return base::message_limits(); },
           [&State](const std::shared_ptr<net::pending_request> &Request) {
             const bool Known = Request->request().target() == SnapshotPath;
             Request->answer(Known
--- a/src/gateway/detail/target_pool.cpp
+++ b/src/gateway/detail/target_pool.cpp
@@ -12,7 +12,7 @@
                   base::boot_time Now) {
   auto &Channels = Idle[Target];
   while (!Channels.empty()) {
-    const auto Channel = std::move(Channels.back());
+    auto Channel = std::move(Channels.back());
     Channels.pop_back();
     if (Channel->isReusable(Now))
       return Channel;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -56,7 +56,7 @@
   void onMetricsRequest(const std::shared_ptr<net::pending_request> &Request);
   net::http_response directoryAnswer(const directory_question &Question);
   std::size_t entriesFor(const directory_question &Question) const;
-  net::server_limits callerLimits() const;
+  base::message_limits callerLimits() const;
   std::size_t maxCallers() const;
   void stopStep();
 
@@ -89,7 +89,7 @@
   std::uint64_t SkippedTo = 0;
 };
 
-static net::server_limits controlLimits() { return net::server_limits(); }
+static base::message_limits controlLimits() { return base::message_limits(); }
 
 gateway::impl::impl(boost::asio::io_context &Loop, gateway_settings Given,
                     caller_protocol GivenProtocol, change_source &Source,
@@ -136,16 +136,8 @@
              : Settings.MaxDescriptors / 2;
 }
 
-net::server_limits gateway::impl::callerLimits() const {
-  net::server_limits Limits;
-  if (!State.routes())
-    return Limits;
-  const routing::caller_limits &Given = State.routes()->limits();
-  Limits.MaxHeaderBytes = Given.MaxHeaderBytes;
-  Limits.MaxBodyBytes = Given.MaxBodyBytes;
-  Limits.HeaderTimeout = Given.HeaderTimeout;
-  Limits.IdleTimeout = Given.IdleTimeout;
-  return Limits;
+base::message_limits gateway::impl::callerLimits() const {
+  return State.routes() ? State.routes()->limits() : base::message_limits();
 }
 
 bool gateway::impl::start() {
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -42,7 +42,7 @@
 
 struct http_server::impl : std::enable_shared_from_this<http_server::impl> {
   impl(asio::io_context &Loop, std::size_t MaxConnections,
-       std::function<server_limits()> Limits, handler OnRequest)
+       std::function<base::message_limits()> Limits, handler OnRequest)
       : Loop(Loop), Acceptor(Loop), Pause(Loop), MaxConnections(MaxConnections),
         Limits(std::move(Limits)), OnRequest(std::move(OnRequest)) {}
 
@@ -53,7 +53,7 @@
   tcp::acceptor Acceptor;
   asio::steady_timer Pause;
   std::size_t MaxConnections;
-  std::function<server_limits()> Limits;
+  std::function<base::message_limits()> Limits;
   handler OnRequest;
   std::unordered_set<session *> Sessions;
   std::size_t Busy = 0;
@@ -167,7 +167,7 @@
   // Bytes of the request may be read from now on, so a stop must not close the
   // connection before its answer.
   setBusy(true);
-  const server_limits Limits = Server->Limits();
+  const base::message_limits Limits = Server->Limits();
   Parser.emplace();
   Parser->header_limit(static_cast<std::uint32_t>(Limits.MaxHeaderBytes));
   Parser->body_limit(Limits.MaxBodyBytes);
@@ -338,12 +338,12 @@
 }
 
 http_server::http_server(asio::io_context &Loop, std::size_t MaxConnections,
-                         std::function<server_limits()> Limits,
+                         std::function<base::message_limits()> Limits,
                          handler OnRequest)
     : Impl(std::make_shared<impl>(Loop, MaxConnections, std::move(Limits),
                                   std::move(OnRequest))) {}
 
-http_server::~http_server() { stopAccepting(); }
+http_server::~http_server() = default;
 
 bool http_server::listen(const base::endpoint &Address) {
   error_code Failure;
@@ -371,9 +371,7 @@
   Impl->Stopped = true;
   error_code Ignored;
   Impl->Acceptor.close(Ignored);
-  const std::vector<session *> Sessions(Impl->Sessions.begin(),
-                                        Impl->Sessions.end());
-  for (session *Session : Sessions)
+  for (session *Session : Impl->Sessions)
     Session->closeIfIdle();
 }
 
--- a/tests/support/platform_stand_in.cpp
+++ b/tests/support/platform_stand_in.cpp
@@ -90,7 +90,7 @@
 
 platform_stand_in::impl::impl() {
   Store = std::make_unique<net::http_server>(
-      Loop, 1000, [] { return net::server_limits(); },
+      Loop, 1000, [] { return base::message_limits(); },
       [this](const pending &Request) { handleStore(Request); });
   Store->listen(Address);
   Thread = std::thread([this] { Loop.run(); });
@@ -99,8 +99,9 @@
 platform_stand_in::impl::~impl() {
   onLoop([this] {
     Watches.clear();
-    Targets.clear();
-    Store.reset();
+    for (const auto &[Id, Target] : Targets)
+      Target->Server->stopAccepting();
+    Store->stopAccepting();
     return 0;
   });
   Guard.reset();
@@ -264,7 +265,7 @@
     Target->Address = {"127.0.0.1", freePort()};
     stand_in_target *Raw = Target.get();
     Target->Server = std::make_unique<net::http_server>(
-        Impl->Loop, 1000, [] { return net::server_limits(); },
+        Impl->Loop, 1000, [] { return base::message_limits(); },
         [this, Raw](const pending &Request) {
           Impl->handleTarget(*Raw, Request);
         });
--- a/tests/system-serve.cpp
+++ b/tests/system-serve.cpp
@@ -85,8 +85,8 @@
   }
 
   void startEntries(int Count) {
-    for (int I = 0; I < Count; ++I) {
-      served_entry &Entry = Entries.emplace_back();
+    Entries.resize(static_cast<std::size_t>(Count));
+    for (served_entry &Entry : Entries) {
       for (auto *Address :
            {&Entry.Front, &Entry.Readiness, &Entry.Directory, &Entry.Mesh})
         *Address = {"127.0.0.1", test_support::freePort()};
@@ -225,6 +225,7 @@
   std::atomic<int> Cut{0};
   std::atomic<int> Served{0};
   std::vector<std::thread> Callers;
+  Callers.reserve(4);
   for (int Caller = 0; Caller < 4; ++Caller)
     Callers.emplace_back([&, Caller] {
       std::string Answer;
--- a/tests/unit-net-server.cpp
+++ b/tests/unit-net-server.cpp
@@ -16,7 +16,7 @@
   boost::asio::io_context Loop;
   base::endpoint Address{"127.0.0.1", test_support::freePort()};
   std::vector<std::shared_ptr<net::pending_request>> Received;
-  net::server_limits Limits;
+  base::message_limits Limits;
   std::optional<net::http_server> Server;
 
   void setup() override {
