Try the next target when one cannot be reached, without counting a send

A refused connection counted as one of the route's attempts and took a retry from the allowance, although nothing was sent. Ruled out: no free targets (the same entries answered others of the route), the deadline (hundreds of ms were left). Change: up to three targets that cannot be reached are passed over; they count neither as attempts nor as retries. Test: system_serve.AnUnreachableTargetIsNoSend failed before (503).

--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -25,6 +25,8 @@
 /// than this; otherwise it is refused at once.
 static constexpr unsigned MostColdWaits = 3;
 static constexpr milliseconds LongestColdWait{150};
+/// Targets that a request finds unreachable before it is refused.
+static constexpr unsigned MostUnreached = 3;
 /// One in so many answered requests is logged.
 static constexpr std::uint64_t LogSampling = 64;
 /// Window of the demand meter.
@@ -237,6 +239,8 @@
   if (Done)
     return;
   logFailedSend(Attempt, Reason, MayHaveRunNow);
+  if (mayTryAnotherConnection(Kind))
+    return place();
   onFailure(Reason, MayHaveRunNow);
 }
 
@@ -278,9 +282,18 @@
   answer(std::move(Outcome.Response), "answered");
 }
 
+/// A target that could not be reached got nothing, so the next one is no second
+/// send.
+bool exchange::mayTryAnotherConnection(send_result Result) {
+  if (Result != send_result::Unreachable)
+    return false;
+  ++Unreached;
+  return !anyRunning() && Unreached <= MostUnreached;
+}
+
 bool exchange::maySendAgain() {
   const auto Now = base::boot_clock::now();
-  if (Query.Tried.size() >= Query.Route->MaxAttempts ||
+  if (Query.Tried.size() - Unreached >= Query.Route->MaxAttempts ||
       Now + LeastTimeToSend >= Query.Deadline)
     return false;
   return Context.Retries.tryRetry(Query.Service->Name, Context.Entries, Now);
--- a/src/gateway/detail/exchange.hpp
+++ b/src/gateway/detail/exchange.hpp
@@ -91,6 +91,7 @@
   void learn(const attempt &Attempt, const net::http_response &Response);
   void onAnswered(std::size_t Index, answered Outcome);
   void onFailure(const std::string &Reason, bool MayHaveRunNow);
+  bool mayTryAnotherConnection(placement::send_result Result);
   bool maySendAgain();
   void waitForColdTarget(std::chrono::nanoseconds Time);
   void armHedge(const attempt &Attempt);
@@ -117,6 +118,8 @@
   std::optional<net::http_response> TargetFailure;
   std::string LastReason;
   unsigned ColdWaits = 0;
+  /// Targets to which no connection could be opened: nothing was sent to them.
+  unsigned Unreached = 0;
   bool MayHaveRun = false;
   bool TimedOut = false;
   bool Done = false;
--- a/tests/support/platform_stand_in.cpp
+++ b/tests/support/platform_stand_in.cpp
@@ -278,6 +278,19 @@
   Impl->onLoop([&] { return Impl->Targets.at(Id)->LosesAnswers = true; });
 }
 
+void platform_stand_in::addUnreachableTarget(const std::string &Id,
+                                             const std::string &Service,
+                                             const std::string &Zone) {
+  Impl->onLoop([&] {
+    stand_in_target Target;
+    Target.Id = Id;
+    Target.Service = Service;
+    Target.Zone = Zone;
+    Target.Address = {"127.0.0.1", freePort()};
+    return Impl->publish(Target, "ready");
+  });
+}
+
 void platform_stand_in::setState(const std::string &Id,
                                  const std::string &State) {
   Impl->onLoop([&] { return Impl->publish(*Impl->Targets.at(Id), State); });
--- a/tests/support/platform_stand_in.hpp
+++ b/tests/support/platform_stand_in.hpp
@@ -38,6 +38,10 @@
   /// answer, after it has run the request.
   void loseAnswers(const std::string &Id);
 
+  /// \brief Registers a target whose address refuses connections.
+  void addUnreachableTarget(const std::string &Id, const std::string &Service,
+                            const std::string &Zone);
+
   /// \brief Registers a target again in another state.
   void setState(const std::string &Id, const std::string &State);
 
--- a/tests/system-serve.cpp
+++ b/tests/system-serve.cpp
@@ -59,7 +59,7 @@
 "rows":[["safe","h.example","/safe/","safe",3,1,1,")" +
          Service + R"(",2,true],
 ["once","h.example","/once/","unsafe",3,1,1,")" +
-         Service + R"(",2,true]]},"services":{"columns":["name","health_path",
+         Service + R"(",1,true]]},"services":{"columns":["name","health_path",
 "max_connections","cold_start_s","cold_per_s"],"rows":[["orders","/healthz",
 300,1,10],["stock","/healthz",300,1,10]]}})";
 }
@@ -178,6 +178,19 @@
   }
 }
 
+// Guards against a refusal, and a used-up retry, because the first target could
+// not be reached: nothing was sent to it.
+TEST(system_serve, AnUnreachableTargetIsNoSend) {
+  for (const char *Id : {"u1", "u2", "u3"})
+    Platform.addUnreachableTarget(Id, "orders", "z");
+  startEntries(1);
+  std::this_thread::sleep_for(500ms);
+  std::string Answer;
+  for (int I = 0; I < 12; ++I)
+    LONGS_EQUAL(200, askRoute(Entries[0].Front, "u" + std::to_string(I), "POST",
+                              "/once/x", Answer));
+}
+
 // Guards against work for a target that is leaving.
 TEST(system_serve, ADrainingTargetGetsNothingSoon) {
   startEntries(1);
