Log lost responses and the age of the stop signal

The logs could not tell the hypotheses on LOST apart: a request whose connection the entry itself had closed was logged as answered, and nothing said when SIGTERM had arrived or what a stop left unanswered.

ResponseLost (507) names each response that could not be written.

--- a/include/skylarkdyke/base/event.hpp
+++ b/include/skylarkdyke/base/event.hpp
@@ -57,6 +57,7 @@
   OwnerSealed = 504,
   RequestEnded = 505,
   SendFailed = 506,
+  ResponseLost = 507,
 
   // 600: operators
   OperatorDenied = 600,
--- a/include/skylarkdyke/gateway/gateway.hpp
+++ b/include/skylarkdyke/gateway/gateway.hpp
@@ -2,6 +2,7 @@
 #define SKYLARKDYKE_GATEWAY_GATEWAY_HPP
 
 #include "skylarkdyke/admission/retry_allowance.hpp"
+#include "skylarkdyke/base/clock.hpp"
 #include "skylarkdyke/base/endpoint.hpp"
 #include "skylarkdyke/base/finding.hpp"
 #include "skylarkdyke/base/names.hpp"
@@ -120,7 +121,8 @@
 
   /// \brief Starts a graceful shutdown and stops the event loop once it is
   /// complete.
-  void stop();
+  /// \param RequestedAt time at which the stop signal arrived
+  void stop(base::boot_time RequestedAt);
 
 private:
   struct impl;
--- a/include/skylarkdyke/net/http_server.hpp
+++ b/include/skylarkdyke/net/http_server.hpp
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace skylarkdyke::net {
 
@@ -33,6 +34,11 @@
   /// \brief Sets the callback that runs if the caller closes its connection
   /// before the response is sent.
   virtual void onCallerDisconnected(std::function<void()> Callback) = 0;
+
+  /// \brief Sets the callback that runs if the response given to answer()
+  /// could not be written completely. It may run after the request is released.
+  virtual void
+  onResponseLost(std::function<void(const std::string &Reason)> Callback) = 0;
 };
 
 /// \brief Asynchronous HTTP/1.1 server on one address.
--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -72,6 +72,7 @@
 void exchange::start(steering_context &Context,
                      std::shared_ptr<net::pending_request> Caller) {
   const auto Self = std::make_shared<exchange>(Context, std::move(Caller));
+  Self->logLostResponse();
   if (!Self->resolveRoute())
     return;
   Self->Caller->onCallerDisconnected([Weak = Self->weak_from_this()] {
@@ -415,6 +416,24 @@
        {"ejected", State != nullptr && State->EjectedUntil > Now}});
 }
 
+/// Logs a response that does not reach the caller. The exchange may have ended
+/// by then.
+void exchange::logLostResponse() {
+  Caller->onResponseLost(
+      [&Context = Context, RequestId = requestHeader(Context.Headers.RequestId),
+       ArrivedAt = Caller->arrivedAt()](const std::string &Reason) {
+        const auto Now = base::boot_clock::now();
+        Context.Metrics
+            .counter("skylarkdyke_responses_lost_total",
+                     "Responses that could not be written to the caller", {})
+            .add();
+        SKYLARKDYKE_DECISION(Context.Log, ResponseLost, Now,
+                             {{"request", RequestId},
+                              {"reason", Reason},
+                              {"took_ms", nanoseconds(Now - ArrivedAt)}});
+      });
+}
+
 void exchange::logRequest(unsigned Status, const char *Outcome) {
   const auto Now = base::boot_clock::now();
   const std::string RequestId = requestHeader(Context.Headers.RequestId);
--- a/src/gateway/detail/exchange.hpp
+++ b/src/gateway/detail/exchange.hpp
@@ -110,6 +110,7 @@
   void respondWithFailure();
   void respondWithError(unsigned Status, const std::string &Reason,
                         std::optional<std::chrono::nanoseconds> RetryAfter);
+  void logLostResponse();
   void logRequest(unsigned Status, const char *Outcome);
   void logFailedAttempt(const attempt &Attempt, const std::string &Reason,
                         bool AttemptMayHaveRun);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -57,7 +57,7 @@
        configuration_decoder Decoder);
 
   bool start();
-  void stop();
+  void stop(base::boot_time RequestedAt);
   void tick();
   void updateShares(base::boot_time Now);
   bool isReady() const { return State.isComplete() && !Stopping; }
@@ -97,6 +97,7 @@
   bool AcceptStopped = false;
   bool ReadyLogged = false;
   base::boot_time StartedAt = base::boot_clock::now();
+  base::boot_time StopRequestedAt{};
   base::boot_time StopAcceptingAt{};
   std::uint64_t SkippedToRevision = 0;
 };
@@ -352,14 +353,16 @@
   Request->answer(net::makeResponse(200, Metrics.render()));
 }
 
-void gateway::impl::stop() {
+void gateway::impl::stop(base::boot_time RequestedAt) {
   if (Stopping)
     return;
   Stopping = true;
   const auto Now = base::boot_clock::now();
   SKYLARKDYKE_DECISION(
       Log, EntryLeaving, Now,
-      {{"running", static_cast<std::int64_t>(Context.RunningExchanges)}});
+      {{"running", static_cast<std::int64_t>(Context.RunningExchanges)},
+       {"signal_age_ms", std::chrono::nanoseconds(Now - RequestedAt)}});
+  StopRequestedAt = RequestedAt;
   Mesh.broadcastHeartbeat(Now);
   FrontServer.drain();
   const auto GraceFraction = [this](double Fraction) {
@@ -382,7 +385,10 @@
   if (Drained || Now >= *Context.StopDeadline + 100ms) {
     SKYLARKDYKE_DECISION(
         Log, EntryStopped, Now,
-        {{"running", static_cast<std::int64_t>(Context.RunningExchanges)}});
+        {{"running", static_cast<std::int64_t>(Context.RunningExchanges)},
+         {"connections_in_use",
+          static_cast<std::int64_t>(FrontServer.activeRequests())},
+         {"signal_age_ms", std::chrono::nanoseconds(Now - StopRequestedAt)}});
     Log.flush();
     Source.stop();
     Loop.stop();
@@ -403,6 +409,6 @@
                                   std::move(Decoder))) {}
 gateway::~gateway() = default;
 bool gateway::start() { return Impl->start(); }
-void gateway::stop() { Impl->stop(); }
+void gateway::stop(base::boot_time RequestedAt) { Impl->stop(RequestedAt); }
 
 } // namespace skylarkdyke::gateway
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <sys/socket.h>
 #include <unordered_set>
+#include <utility>
 
 namespace skylarkdyke::net {
 
@@ -98,6 +99,10 @@
   void onCallerDisconnected(std::function<void()> Callback) override {
     OnDisconnected = std::move(Callback);
   }
+  void
+  onResponseLost(std::function<void(const std::string &)> Callback) override {
+    OnResponseLost = std::move(Callback);
+  }
   void answer(http_response Response) override;
   void abandon() override;
 
@@ -138,6 +143,7 @@
   http_response Response;
   base::boot_time ArrivedAt{};
   std::function<void()> OnDisconnected;
+  std::function<void(const std::string &)> OnResponseLost;
   bool IsActive = false;
   bool Answerable = false;
   bool PeerKeepsAlive = false;
@@ -300,6 +306,9 @@
 
 void session::finishWrite(const error_code &Failure, bool Close) {
   Response.body().clear();
+  const auto LostCallback = std::exchange(OnResponseLost, nullptr);
+  if (Failure && LostCallback)
+    LostCallback(Failure.message());
   if (Failure || Close) {
     setActive(false);
     return closeSocket();
