Discard callbacks of timers that were set again or cancelled

Callers saw a kept connection close without a response although their request had been read and sent to a target: LOST.

Cause: an Asio wait whose time has passed can no longer be cancelled; its handler stays queued with a successful result. If the idle time of a connection ended in the same turn of the loop in which a request arrived, the request was read, and the queued handler then closed its connection. Turns are long on a busy machine with a tenth of a core. In the same way a late connect timer ended a call to a target after its request was sent.

one_shot_timer numbers its waits and discards the callbacks of earlier ones. It replaces the plain timers of connections, calls, exchanges, the store feed and the gateway.

Evidence: LateIdleTimerDoesNotCloseAConnectionWithAHandledRequest and LateConnectTimerDoesNotEndTheExchange failed before this change.

--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -162,12 +162,8 @@
 
 void exchange::waitForColdTarget(nanoseconds Time) {
   ++ColdWaits;
-  NextAttemptTimer.expires_after(Time);
-  NextAttemptTimer.async_wait(
-      [Self = shared_from_this()](const boost::system::error_code &Result) {
-        if (!Result && !Self->Done)
-          Self->selectTarget();
-      });
+  NextAttemptTimer.set(base::boot_clock::now() + Time,
+                       [Self = shared_from_this()] { Self->selectTarget(); });
 }
 
 void exchange::onNoTarget(const placement::no_target &NoTargetResult) {
@@ -215,14 +211,14 @@
     return;
   const nanoseconds Expected =
       Attempt.Chosen.ExpectedProcessingTime + Attempt.Chosen.ExpectedWait;
-  NextAttemptTimer.expires_after(std::max<nanoseconds>(
+  const auto Delay = std::max<nanoseconds>(
       std::chrono::duration_cast<nanoseconds>(Expected * HedgeDelayFactor),
-      MinHedgeDelay));
-  NextAttemptTimer.async_wait(
-      [Self = shared_from_this()](const boost::system::error_code &Result) {
-        if (!Result && !Self->Done && Self->tryAcquireRetry())
-          Self->selectTarget();
-      });
+      MinHedgeDelay);
+  NextAttemptTimer.set(base::boot_clock::now() + Delay,
+                       [Self = shared_from_this()] {
+                         if (Self->tryAcquireRetry())
+                           Self->selectTarget();
+                       });
 }
 
 void exchange::onCallResult(std::size_t Index, net::call_result Result) {
--- a/src/gateway/detail/exchange.hpp
+++ b/src/gateway/detail/exchange.hpp
@@ -7,10 +7,10 @@
 #include "skylarkdyke/admission/retry_allowance.hpp"
 #include "skylarkdyke/metrics/registry.hpp"
 #include "skylarkdyke/net/http_server.hpp"
+#include "skylarkdyke/net/one_shot_timer.hpp"
 #include "skylarkdyke/placement/placer.hpp"
 #include "skylarkdyke/telemetry/decision_log.hpp"
 
-#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <optional>
 #include <string>
@@ -123,7 +123,7 @@
   placement::placement_query Query;
   /// Delays an attempt while the rate limit of cold targets is reached; while
   /// an attempt runs, triggers the hedged attempt.
-  boost::asio::steady_timer NextAttemptTimer;
+  net::one_shot_timer NextAttemptTimer;
   std::vector<attempt> Attempts;
   std::optional<net::http_response> TargetErrorResponse;
   std::string LastFailureReason;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -11,7 +11,6 @@
 #include "skylarkdyke/membership/member_table.hpp"
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <unistd.h>
 
 namespace skylarkdyke::gateway {
@@ -45,6 +44,8 @@
 /// refused, and after which the last responses must have been sent.
 static constexpr double AcceptGraceFraction = 0.5;
 static constexpr double ResponseGraceFraction = 0.93;
+/// Period in which a stopping entry checks whether all responses were sent.
+static constexpr milliseconds StopCheckPeriod{50};
 /// Time after the start during which the demand of the other entries may be
 /// incomplete.
 static constexpr milliseconds DemandWarmUpTime{2000};
@@ -91,8 +92,8 @@
   net::http_server ReadinessServer;
   net::http_server DirectoryServer;
   net::http_server MetricsServer;
-  boost::asio::steady_timer Timer;
-  boost::asio::steady_timer StopTimer;
+  net::one_shot_timer Timer;
+  net::one_shot_timer StopTimer;
   bool Stopping = false;
   bool AcceptStopped = false;
   bool ReadyLogged = false;
@@ -269,11 +270,7 @@
   Pool.sweep(Now);
   updateShares(Now);
   Log.flush();
-  Timer.expires_after(TickPeriod);
-  Timer.async_wait([this](const boost::system::error_code &Result) {
-    if (!Result)
-      tick();
-  });
+  Timer.set(base::boot_clock::now() + TickPeriod, [this] { tick(); });
 }
 
 void gateway::impl::onReadinessRequest(
@@ -394,11 +391,7 @@
     Loop.stop();
     return;
   }
-  StopTimer.expires_after(50ms);
-  StopTimer.async_wait([this](const boost::system::error_code &Result) {
-    if (!Result)
-      continueStop();
-  });
+  StopTimer.set(Now + StopCheckPeriod, [this] { continueStop(); });
 }
 
 gateway::gateway(boost::asio::io_context &Loop, gateway_settings Settings,
--- a/src/net/http_channel.cpp
+++ b/src/net/http_channel.cpp
@@ -1,9 +1,10 @@
 #include "skylarkdyke/net/http_channel.hpp"
 
+#include "skylarkdyke/net/one_shot_timer.hpp"
+
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
@@ -80,7 +81,7 @@
 
   asio::io_context &Loop;
   tcp::socket Socket;
-  asio::steady_timer Timer;
+  one_shot_timer Timer;
   base::endpoint Peer;
   beast::flat_buffer Buffer;
   std::optional<parser> Parser;
@@ -129,12 +130,7 @@
 
 void http_channel::impl::setTimer(const std::shared_ptr<http_channel> &Self,
                                   base::boot_time Until, channel_fault Fault) {
-  Timer.expires_after(std::max<base::boot_clock::duration>(
-      Until - base::boot_clock::now(), std::chrono::milliseconds(0)));
-  Timer.async_wait([this, Self, Fault, Id = CallId](const error_code &Result) {
-    if (!Result && Id == CallId && OnDone)
-      fail(Fault);
-  });
+  Timer.set(Until, [this, Self, Fault] { fail(Fault); });
 }
 
 void http_channel::impl::startConnect(
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,7 +1,8 @@
 #include "skylarkdyke/net/http_server.hpp"
 
+#include "skylarkdyke/net/one_shot_timer.hpp"
+
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
@@ -55,7 +56,7 @@
 
   asio::io_context &Loop;
   tcp::acceptor Acceptor;
-  asio::steady_timer AcceptRetryTimer;
+  one_shot_timer AcceptRetryTimer;
   std::size_t MaxConnections;
   std::function<base::message_limits()> Limits;
   handler OnRequest;
@@ -117,7 +118,7 @@
   void rejectUnreadable(const error_code &Failure);
   void write(bool Close);
   void finishWrite(const error_code &Failure, bool Close);
-  void setTimer(std::chrono::nanoseconds Delay);
+  void closeAt(base::boot_time Until);
 
   void closeSocket() {
     error_code Ignored;
@@ -136,7 +137,7 @@
 
   std::shared_ptr<http_server::impl> Server;
   tcp::socket Socket;
-  asio::steady_timer Timer;
+  one_shot_timer Timer;
   beast::flat_buffer Buffer;
   std::optional<parser> Parser;
   http_request Request;
@@ -149,12 +150,10 @@
   bool PeerKeepsAlive = false;
 };
 
-void session::setTimer(std::chrono::nanoseconds Delay) {
-  Timer.expires_after(Delay);
-  Timer.async_wait([Self = weak_from_this()](const error_code &Result) {
-    const auto Session = Self.lock();
-    if (!Result && Session)
-      Session->closeSocket();
+void session::closeAt(base::boot_time Until) {
+  Timer.set(Until, [Weak = weak_from_this()] {
+    if (const auto Self = Weak.lock())
+      Self->closeSocket();
   });
 }
 
@@ -165,7 +164,7 @@
   if (Buffer.size() > 0)
     return readHeader();
   Buffer.shrink_to_fit();
-  setTimer(Server->Limits().IdleTimeout);
+  closeAt(base::boot_clock::now() + Server->Limits().IdleTimeout);
   Socket.async_wait(tcp::socket::wait_read,
                     [Self = shared_from_this()](const error_code &Result) {
                       if (!Result)
@@ -181,7 +180,7 @@
   Parser.emplace();
   Parser->header_limit(static_cast<std::uint32_t>(Limits.MaxHeaderBytes));
   Parser->body_limit(Limits.MaxBodyBytes);
-  setTimer(Limits.HeaderTimeout);
+  closeAt(base::boot_clock::now() + Limits.HeaderTimeout);
   bhttp::async_read_header(
       Socket, Buffer, *Parser,
       [Self = shared_from_this()](const error_code &Result, std::size_t) {
@@ -206,7 +205,7 @@
 }
 
 void session::readBody() {
-  setTimer(TransferTimeout);
+  closeAt(base::boot_clock::now() + TransferTimeout);
   bhttp::async_read(
       Socket, Buffer, *Parser,
       [Self = shared_from_this()](const error_code &Result, std::size_t) {
@@ -296,7 +295,7 @@
 }
 
 void session::write(bool Close) {
-  setTimer(TransferTimeout);
+  closeAt(base::boot_clock::now() + TransferTimeout);
   const auto OnDone = [Self = shared_from_this(),
                        Close](const error_code &Result, std::size_t) {
     Self->finishWrite(Result, Close);
@@ -342,9 +341,8 @@
     return;
   if (Failure) {
     LOG(WARNING) << "cannot accept a connection: " << Failure.message();
-    AcceptRetryTimer.expires_after(AcceptRetryDelay);
-    AcceptRetryTimer.async_wait(
-        [Self = shared_from_this()](const error_code &) { Self->accept(); });
+    AcceptRetryTimer.set(base::boot_clock::now() + AcceptRetryDelay,
+                         [Self = shared_from_this()] { Self->accept(); });
     return;
   }
   if (Sessions.size() < MaxConnections)
--- a/tests/unit-net-channel.cpp
+++ b/tests/unit-net-channel.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <optional>
+#include <thread>
 
 // Last, because it redefines "new".
 #include <CppUTest/TestHarness.h>
@@ -153,6 +154,28 @@
   checkFault(channel_fault::DeadlinePassed);
 }
 
+// Guards against a connect timer that expires while the loop is busy and ends
+// the call after its request was sent.
+TEST(net_channel, LateConnectTimerDoesNotEndTheExchange) {
+  const std::string Answer = response("Content-Length: 2\r\n", "ok");
+  Acceptor.async_accept(Accepted, [this, Answer](auto Failure) {
+    if (!Failure)
+      answer(Answer, connection_end::Keep);
+  });
+  const auto Now = base::boot_clock::now();
+  Channel->call(
+      net::http_request(boost::beast::http::verb::get, "/", 11),
+      {Now + 20ms, Now + 1s}, [](const net::http_response &) { return true; },
+      [this](net::call_result CallResult) {
+        Result.emplace(std::move(CallResult));
+      });
+  std::this_thread::sleep_for(30ms);
+  Loop.restart();
+  while (!Result && Loop.run_one_for(1s) != 0) {
+  }
+  CHECK(Result && *Result);
+}
+
 // Guards against a refused connection that is reported as a request that may
 // have been executed.
 TEST(net_channel, ReportsNothingSentIfTheConnectionIsRefused) {
--- a/tests/unit-net-server.cpp
+++ b/tests/unit-net-server.cpp
@@ -3,6 +3,7 @@
 #include "support/raw_client.hpp"
 
 #include <optional>
+#include <thread>
 
 // Last, because it redefines "new".
 #include <CppUTest/TestHarness.h>
@@ -68,6 +69,20 @@
   }
 }
 
+// Guards against an idle timer that expires while the loop is busy and closes
+// the connection after its next request was read.
+TEST(net_server, LateIdleTimerDoesNotCloseAConnectionWithAHandledRequest) {
+  Limits.IdleTimeout = 30ms;
+  const test_support::raw_client Client(Address);
+  runFor(10ms);
+  Client.send(GetRequest);
+  std::this_thread::sleep_for(40ms);
+  runFor(20ms);
+  LONGS_EQUAL(1, Received.size());
+  answerAll();
+  CHECK(Client.receive().find("done") != std::string::npos);
+}
+
 // Guards against work on requests whose caller has disconnected.
 TEST(net_server, ReportsThatTheCallerDisconnected) {
   test_support::raw_client Client(Address);
