Apply a raised idle limit to connections that are already idle

Callers may use a connection for four fifths of the idle limit in force. After the operator raised the limit, an idle connection was still closed at the old one, so that requests met the close.

The timer now compares the time since the last response with the limit in force when it expires. RaisedIdleLimitAppliesToIdleConnections failed before this change.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -119,6 +119,8 @@
   void write(bool Close);
   void finishWrite(const error_code &Failure, bool Close);
   void closeAt(base::boot_time Until);
+  void setIdleTimer();
+  void onIdleTimeout();
 
   void closeSocket() {
     error_code Ignored;
@@ -143,6 +145,7 @@
   http_request Request;
   http_response Response;
   base::boot_time ArrivedAt{};
+  base::boot_time IdleSince{};
   std::function<void()> OnDisconnected;
   std::function<void(const std::string &)> OnResponseLost;
   bool IsActive = false;
@@ -157,6 +160,21 @@
   });
 }
 
+void session::setIdleTimer() {
+  Timer.set(IdleSince + Server->Limits().IdleTimeout,
+            [Weak = weak_from_this()] {
+              if (const auto Self = Weak.lock())
+                Self->onIdleTimeout();
+            });
+}
+
+void session::onIdleTimeout() {
+  // The limit may have been raised since the timer was set.
+  if (base::boot_clock::now() < IdleSince + Server->Limits().IdleTimeout)
+    return setIdleTimer();
+  closeSocket();
+}
+
 void session::awaitRequest() {
   if (Server->Stopped)
     return closeSocket();
@@ -164,7 +182,8 @@
   if (Buffer.size() > 0)
     return readHeader();
   Buffer.shrink_to_fit();
-  closeAt(base::boot_clock::now() + Server->Limits().IdleTimeout);
+  IdleSince = base::boot_clock::now();
+  setIdleTimer();
   Socket.async_wait(tcp::socket::wait_read,
                     [Self = shared_from_this()](const error_code &Result) {
                       if (!Result)
--- a/tests/unit-net-server.cpp
+++ b/tests/unit-net-server.cpp
@@ -83,6 +83,19 @@
   CHECK(Client.receive().find("done") != std::string::npos);
 }
 
+// Guards against connections that are closed by an idle limit that the
+// operator has raised in the meantime.
+TEST(net_server, RaisedIdleLimitAppliesToIdleConnections) {
+  Limits.IdleTimeout = 30ms;
+  const test_support::raw_client Client(Address);
+  runFor(10ms);
+  Limits.IdleTimeout = 120ms;
+  runFor(60ms);
+  CHECK(!Client.isClosed());
+  runFor(100ms);
+  CHECK(Client.isClosed());
+}
+
 // Guards against work on requests whose caller has disconnected.
 TEST(net_server, ReportsThatTheCallerDisconnected) {
   test_support::raw_client Client(Address);
