Count the grace of a stop from the arrival of the signal

All times of a stop counted from the moment at which the loop handled SIGTERM. A busy loop on a slow machine handles it late, then accepts requests later than half of the grace and ends after it.

--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -86,10 +86,10 @@
                    std::shared_ptr<net::pending_request> Caller)
     : Context(Context), Caller(std::move(Caller)),
       NextAttemptTimer(Context.Loop) {
-  ++Context.RunningExchanges;
+  Context.Running.insert(this);
 }
 
-exchange::~exchange() { --Context.RunningExchanges; }
+exchange::~exchange() { Context.Running.erase(this); }
 
 std::string exchange::requestHeader(const std::string &Name) const {
   return std::string(Caller->request()[Name]);
@@ -134,8 +134,8 @@
     Limit = std::min(Limit, milliseconds(RequestedMs));
   Query.Deadline = Caller->arrivedAt() + Limit;
   Query.ObjectiveDeadline = Caller->arrivedAt() + Query.Route->LatencyObjective;
-  if (Context.StopDeadline)
-    Query.Deadline = std::min(Query.Deadline, *Context.StopDeadline);
+  if (Context.Stop)
+    Query.Deadline = std::min(Query.Deadline, Context.Stop->RespondBy);
 }
 
 void exchange::selectTarget() {
--- a/src/gateway/detail/exchange.hpp
+++ b/src/gateway/detail/exchange.hpp
@@ -4,6 +4,7 @@
 #include "gateway/detail/channel_pool.hpp"
 #include "gateway/detail/send_outcome.hpp"
 #include "gateway/detail/steering_state.hpp"
+#include "gateway/detail/stop_schedule.hpp"
 #include "skylarkdyke/admission/retry_allowance.hpp"
 #include "skylarkdyke/metrics/registry.hpp"
 #include "skylarkdyke/net/http_server.hpp"
@@ -15,6 +16,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace skylarkdyke::gateway::detail {
@@ -43,6 +45,8 @@
       Counts;
 };
 
+class exchange;
+
 /// \brief State that all exchanges of an entry share.
 struct steering_context {
   boost::asio::io_context &Loop;
@@ -59,9 +63,9 @@
   /// Number of live entries, this one included. They divide the retry
   /// allowance and the connection limits of targets among them.
   unsigned EntryCount = 1;
-  /// Set during shutdown: time by which every request must have its response.
-  std::optional<base::boot_time> StopDeadline;
-  std::size_t RunningExchanges = 0;
+  /// Set during a graceful stop.
+  std::optional<stop_schedule> Stop;
+  std::unordered_set<exchange *> Running;
 };
 
 /// \brief Handles one request: selects a target, forwards the request,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -40,10 +40,6 @@
 /// Maximum number of connections to each of the readiness, directory and
 /// metrics servers.
 static constexpr std::size_t MaxControlConnections = 400;
-/// Fractions of the shutdown grace period after which new connections are
-/// refused, and after which the last responses must have been sent.
-static constexpr double AcceptGraceFraction = 0.5;
-static constexpr double ResponseGraceFraction = 0.93;
 /// Period in which a stopping entry checks whether all responses were sent.
 static constexpr milliseconds StopCheckPeriod{50};
 /// Time after the start during which the demand of the other entries may be
@@ -99,7 +95,6 @@
   bool ReadyLogged = false;
   base::boot_time StartedAt = base::boot_clock::now();
   base::boot_time StopRequestedAt{};
-  base::boot_time StopAcceptingAt{};
   std::uint64_t SkippedToRevision = 0;
 };
 
@@ -122,7 +117,7 @@
                           Retries, Metrics,
                           Log,     {},
                           {},      1,
-                          {},      0},
+                          {},      {}},
       Members(Settings.Mesh, Settings.Region, Settings.RegionOf),
       Mesh(
           Loop, State, Members, Settings.Mesh, [this] { return ownStatus(); },
@@ -357,32 +352,27 @@
   const auto Now = base::boot_clock::now();
   SKYLARKDYKE_DECISION(
       Log, EntryLeaving, Now,
-      {{"running", static_cast<std::int64_t>(Context.RunningExchanges)},
+      {{"running", static_cast<std::int64_t>(Context.Running.size())},
        {"signal_age_ms", std::chrono::nanoseconds(Now - RequestedAt)}});
   StopRequestedAt = RequestedAt;
   Mesh.broadcastHeartbeat(Now);
   FrontServer.drain();
-  const auto GraceFraction = [this](double Fraction) {
-    return std::chrono::duration_cast<milliseconds>(Settings.StopGrace *
-                                                    Fraction);
-  };
-  StopAcceptingAt = Now + GraceFraction(AcceptGraceFraction);
-  Context.StopDeadline = Now + GraceFraction(ResponseGraceFraction);
+  Context.Stop = detail::scheduleStop(RequestedAt, Settings.StopGrace);
   continueStop();
 }
 
 void gateway::impl::continueStop() {
   const auto Now = base::boot_clock::now();
-  if (!AcceptStopped && Now >= StopAcceptingAt) {
+  if (!AcceptStopped && Now >= Context.Stop->StopAcceptingAt) {
     AcceptStopped = true;
     FrontServer.stopAccepting();
   }
-  const bool Drained = AcceptStopped && Context.RunningExchanges == 0 &&
+  const bool Drained = AcceptStopped && Context.Running.empty() &&
                        FrontServer.activeRequests() == 0;
-  if (Drained || Now >= *Context.StopDeadline + 100ms) {
+  if (Drained || Now >= Context.Stop->ExitBy) {
     SKYLARKDYKE_DECISION(
         Log, EntryStopped, Now,
-        {{"running", static_cast<std::int64_t>(Context.RunningExchanges)},
+        {{"running", static_cast<std::int64_t>(Context.Running.size())},
          {"connections_in_use",
           static_cast<std::int64_t>(FrontServer.activeRequests())},
          {"signal_age_ms", std::chrono::nanoseconds(Now - StopRequestedAt)}});
