Respond to every request before a stop ends the process

Callers lost requests at a stop: a request from before SIGTERM that still waited for its target at the end of the stop, for example in the queue of a slow one, met a closed connection.

Only requests that arrived after SIGTERM had the deadline of the stop. At 90% of the grace all remaining exchanges now end: 504 if the request may have run, 503 if it was sent to no target.

StopAnswersRequestsThatStartedBeforeIt failed before this change: the connection closed without a byte.

--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -369,6 +369,24 @@
     cancelRunningAttempts();
 }
 
+void exchange::endAllForStop(steering_context &Context) {
+  std::vector<std::shared_ptr<exchange>> Running;
+  for (exchange *Exchange : Context.Running)
+    Running.push_back(Exchange->shared_from_this());
+  for (const auto &Exchange : Running)
+    Exchange->endForStop();
+}
+
+void exchange::endForStop() {
+  if (Done)
+    return;
+  MayHaveRun = MayHaveRun || hasRunningAttempt();
+  cancelRunningAttempts();
+  LastFailureReason = "entry_stopping";
+  TimedOut = true;
+  respondWithFailure();
+}
+
 void exchange::respond(net::http_response Response, const char *Outcome) {
   Done = true;
   NextAttemptTimer.cancel();
--- a/src/gateway/detail/exchange.hpp
+++ b/src/gateway/detail/exchange.hpp
@@ -77,6 +77,10 @@
   static void start(steering_context &Context,
                     std::shared_ptr<net::pending_request> Caller);
 
+  /// \brief Responds to all requests that still have no response, and cancels
+  /// their attempts.
+  static void endAllForStop(steering_context &Context);
+
   exchange(steering_context &Context,
            std::shared_ptr<net::pending_request> Caller);
   ~exchange();
@@ -108,6 +112,7 @@
   void waitForColdTarget(std::chrono::nanoseconds Time);
   void scheduleHedge(const attempt &Attempt);
   void onCallerDisconnected();
+  void endForStop();
   void cancelRunningAttempts();
   bool hasRunningAttempt() const;
   void respond(net::http_response Response, const char *Outcome);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -367,6 +367,8 @@
     AcceptStopped = true;
     FrontServer.stopAccepting();
   }
+  if (Now >= Context.Stop->RespondBy)
+    detail::exchange::endAllForStop(Context);
   const bool Drained = AcceptStopped && Context.Running.empty() &&
                        FrontServer.activeRequests() == 0;
   if (Drained || Now >= Context.Stop->ExitBy) {
--- a/tests/system-serve.cpp
+++ b/tests/system-serve.cpp
@@ -52,14 +52,17 @@
   return Text.str();
 }
 
-static std::string configuration(int Version, const char *Service) {
+static std::string configuration(int Version, const char *Service,
+                                 std::chrono::seconds RouteTimeout = 3s) {
+  const std::string Timeout = std::to_string(RouteTimeout.count());
   return R"({"version":"r)" + std::to_string(Version) +
          R"(","routes":{"columns":["name","host","path_prefix","kind",
 "timeout_s","target_latency_s","priority","service","max_attempts","sticky"],
-"rows":[["safe","h.example","/safe/","safe",3,1,1,")" +
-         Service + R"(",2,true],
-["once","h.example","/once/","unsafe",3,1,1,")" +
-         Service + R"(",1,true]]},"services":{"columns":["name","health_path",
+"rows":[["safe","h.example","/safe/","safe",)" +
+         Timeout + R"(,1,1,")" + Service + R"(",2,true],
+["once","h.example","/once/","unsafe",)" +
+         Timeout + R"(,1,1,")" + Service +
+         R"(",1,true]]},"services":{"columns":["name","health_path",
 "max_connections","cold_start_s","cold_per_s"],"rows":[["orders","/healthz",
 300,1,10],["stock","/healthz",300,1,10]]}})";
 }
@@ -266,3 +269,28 @@
     Answered += Runs;
   LONGS_EQUAL(Answered, Served);
 }
+
+// Guards against requests from before a stop signal whose connections close
+// without a response when the process exits.
+TEST(system_serve, StopAnswersRequestsThatStartedBeforeIt) {
+  Platform.put("op/config", configuration(3, "stock", 20s));
+  Platform.remove("servers/s1");
+  Platform.addTarget("slow", "stock", "z", 10s);
+  startEntries(1);
+  const test_support::raw_client Client(Entries[0].Front);
+  Client.send("POST /once/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0"
+              "\r\nSkylarkdyke-Request-Id: old\r\n\r\n");
+  CHECK_TRUE(test_support::waitUntil(
+      [&] { return Platform.runsAt("slow") == 1; }, 2s));
+  Entries[0].Process->signal(SIGTERM);
+  std::string Answer;
+  test_support::waitUntil(
+      [&] {
+        Answer += Client.receive();
+        return Client.isClosed();
+      },
+      5s);
+  STRCMP_CONTAINS("HTTP/1.1 504", Answer.c_str());
+  const auto Exit = Entries[0].Process->waitFor(1s);
+  CHECK_TRUE(Exit && *Exit == 0);
+}
