Read requests that have arrived before a connection counts as idle

At a stop, and at the idle limit, a connection whose next request had arrived but was not read yet was reset. Callers of a busy entry lost a retry. Such a connection is now left to the read that is due.

After a HEAD request on a connection, a rejection of unreadable bytes carried no Content-Length, since the earlier request was still stored.

StopReadsARequestThatHasAlreadyArrived and RejectionAfterAHeadRequestCarriesItsLength failed before this change.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -91,7 +91,7 @@
   }
 
   void closeIfIdle() {
-    if (!IsActive)
+    if (!IsActive && !hasUnreadBytes())
       closeSocket();
   }
 
@@ -108,6 +108,12 @@
   void abandon() override;
 
 private:
+  /// A request may be in the receive buffer whose handler has not run yet.
+  bool hasUnreadBytes() {
+    error_code Ignored;
+    return Socket.available(Ignored) > 0;
+  }
+
   void awaitRequest();
   void readHeader();
   void onHeader(const error_code &Failure);
@@ -172,7 +178,8 @@
   // The limit may have been raised since the timer was set.
   if (base::boot_clock::now() < IdleSince + Server->Limits().IdleTimeout)
     return setIdleTimer();
-  closeSocket();
+  if (!hasUnreadBytes())
+    closeSocket();
 }
 
 void session::awaitRequest() {
@@ -195,6 +202,7 @@
   // Bytes of the request may be read from here on, so stopAccepting() must
   // not close the connection before the response is sent.
   setActive(true);
+  Request = {};
   const base::message_limits Limits = Server->Limits();
   Parser.emplace();
   Parser->header_limit(static_cast<std::uint32_t>(Limits.MaxHeaderBytes));
