--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -29,6 +29,10 @@
 /// request is rejected immediately.
 static constexpr unsigned MaxColdWaits = 3;
 static constexpr milliseconds MaxColdWait{150};
+/// Retry delay given to callers whose request arrives late in a stop; other
+/// entries serve them.
+static constexpr milliseconds StopRetryAfter{50};
+static constexpr const char *StoppingReason = "entry_stopping";
 /// Maximum number of unreachable targets after which another target is still
 /// tried.
 static constexpr unsigned MaxUnreachableTargets = 3;
@@ -84,12 +88,12 @@
 
 exchange::exchange(steering_context &Context,
                    std::shared_ptr<net::pending_request> Caller)
-    : Context(Context), Caller(std::move(Caller)),
+    : Context(Context), Running(Context.Running), Caller(std::move(Caller)),
       NextAttemptTimer(Context.Loop) {
-  Context.Running.insert(this);
+  Running->insert(this);
 }
 
-exchange::~exchange() { Context.Running.erase(this); }
+exchange::~exchange() { Running->erase(this); }
 
 std::string exchange::requestHeader(const std::string &Name) const {
   return std::string(Caller->request()[Name]);
@@ -98,6 +102,11 @@
 bool exchange::resolveRoute() {
   const net::http_request &Request = Caller->request();
   Routes = Context.State.routes();
+  // The rest of the grace may be too short for this request.
+  if (Context.Stop && Caller->arrivedAt() >= Context.Stop->StopAcceptingAt) {
+    respondWithError(503, StoppingReason, StopRetryAfter);
+    return false;
+  }
   if (!Context.State.isComplete()) {
     respondWithError(503, "no_configuration", milliseconds(200));
     return false;
@@ -140,8 +149,11 @@
 
 void exchange::selectTarget() {
   const auto Now = base::boot_clock::now();
-  if (Now + MinTimeToSend >= Query.Deadline)
-    return respondWithFailure();
+  if (Now + MinTimeToSend >= Query.Deadline) {
+    if (!hasRunningAttempt())
+      respondWithFailure();
+    return;
+  }
   const auto Choice = Context.Placer.choose(Query, Now);
   if (const auto *NoTargetResult = std::get_if<placement::no_target>(&Choice))
     return onNoTarget(*NoTargetResult);
@@ -371,7 +383,7 @@
 
 void exchange::endAllForStop(steering_context &Context) {
   std::vector<std::shared_ptr<exchange>> Running;
-  for (exchange *Exchange : Context.Running)
+  for (exchange *Exchange : *Context.Running)
     Running.push_back(Exchange->shared_from_this());
   for (const auto &Exchange : Running)
     Exchange->endForStop();
@@ -379,11 +391,11 @@
 
 void exchange::endForStop() {
   if (Done)
-    return;
+    return cancelRunningAttempts();
   MayHaveRun = MayHaveRun || hasRunningAttempt();
   cancelRunningAttempts();
-  LastFailureReason = "entry_stopping";
-  TimedOut = true;
+  LastFailureReason = StoppingReason;
+  TimedOut = true; // A request that may have run gets 504.
   respondWithFailure();
 }
 
--- a/src/gateway/detail/exchange.hpp
+++ b/src/gateway/detail/exchange.hpp
@@ -65,7 +65,10 @@
   unsigned EntryCount = 1;
   /// Set during a graceful stop.
   std::optional<stop_schedule> Stop;
-  std::unordered_set<exchange *> Running;
+  /// Exchanges that exist, with or without a response. They share the set,
+  /// because the event loop may destroy them after the gateway.
+  std::shared_ptr<std::unordered_set<exchange *>> Running =
+      std::make_shared<std::unordered_set<exchange *>>();
 };
 
 /// \brief Handles one request: selects a target, forwards the request,
@@ -126,6 +129,7 @@
   std::string requestHeader(const std::string &Name) const;
 
   steering_context &Context;
+  std::shared_ptr<std::unordered_set<exchange *>> Running;
   std::shared_ptr<net::pending_request> Caller;
   /// Keeps Query.Route valid when the configuration changes.
   std::shared_ptr<const routing::route_table> Routes;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <unistd.h>
+#include <utility>
 
 namespace skylarkdyke::gateway {
 
@@ -92,6 +93,7 @@
   net::one_shot_timer StopTimer;
   bool Stopping = false;
   bool AcceptStopped = false;
+  bool LastResponsesGiven = false;
   bool ReadyLogged = false;
   base::boot_time StartedAt = base::boot_clock::now();
   base::boot_time StopRequestedAt{};
@@ -117,7 +119,7 @@
                           Retries, Metrics,
                           Log,     {},
                           {},      1,
-                          {},      {}},
+                          {}},
       Members(Settings.Mesh, Settings.Region, Settings.RegionOf),
       Mesh(
           Loop, State, Members, Settings.Mesh, [this] { return ownStatus(); },
@@ -352,7 +354,7 @@
   const auto Now = base::boot_clock::now();
   SKYLARKDYKE_DECISION(
       Log, EntryLeaving, Now,
-      {{"running", static_cast<std::int64_t>(Context.Running.size())},
+      {{"running", static_cast<std::int64_t>(Context.Running->size())},
        {"signal_age_ms", std::chrono::nanoseconds(Now - RequestedAt)}});
   StopRequestedAt = RequestedAt;
   Mesh.broadcastHeartbeat(Now);
@@ -367,14 +369,17 @@
     AcceptStopped = true;
     FrontServer.stopAccepting();
   }
-  if (Now >= Context.Stop->RespondBy)
+  // The loop may be late; the responses need one more turn of it.
+  const bool RespondedEarlier = std::exchange(
+      LastResponsesGiven, LastResponsesGiven || Now >= Context.Stop->RespondBy);
+  if (LastResponsesGiven)
     detail::exchange::endAllForStop(Context);
-  const bool Drained = AcceptStopped && Context.Running.empty() &&
+  const bool Drained = AcceptStopped && Context.Running->empty() &&
                        FrontServer.activeRequests() == 0;
-  if (Drained || Now >= Context.Stop->ExitBy) {
+  if (Drained || (RespondedEarlier && Now >= Context.Stop->ExitBy)) {
     SKYLARKDYKE_DECISION(
         Log, EntryStopped, Now,
-        {{"running", static_cast<std::int64_t>(Context.Running.size())},
+        {{"running", static_cast<std::int64_t>(Context.Running->size())},
          {"connections_in_use",
           static_cast<std::int64_t>(FrontServer.activeRequests())},
          {"signal_age_ms", std::chrono::nanoseconds(Now - StopRequestedAt)}});
