End answers whose bytes have no end

What callers saw: a target that sent a chunk size, a chunk extension or trailers without an end held its request until the deadline while the entry buffered everything that came. A Content-Length far above the limit with body bytes behind the head ended the process with std::bad_alloc, in the client and in the prober. An interim answer (1xx) was taken for the final one. A read whose target flooded failed although other targets were whole.

Cause: the buffer of the HTTP client and of the prober had no maximum, and Boost.Beast 1.74 bounds neither a line of the chunked coding nor trailers. When Beast reads eagerly, it goes on after the body limit has failed the head and reserves the announced body. No code skipped interim answers. TooLarge was neither retried nor counted against the target.

Change: the buffer holds MaxAnswerHeaderBytes, the head with its interim answers too; head, body and chunked coding take at most max_answer_bytes and 8,192 bytes, which is what a link's cap reserves already. The head is read by itself. The new fault Endless (still 5025, unknown) lets safe requests go to another target and counts as an error response. Emulated targets can flood.

--- a/include/skylarkdyke/emulators/target_emulator.hpp
+++ b/include/skylarkdyke/emulators/target_emulator.hpp
@@ -3,6 +3,7 @@
 
 #include "skylarkdyke/base/clock.hpp"
 #include "skylarkdyke/base/endpoint.hpp"
+#include "skylarkdyke/emulators/flood.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -39,6 +40,12 @@
   bool TruncatesAnswers = false;
   bool ClosesWithoutAnswer = false;
   bool AnswersWrongId = false;
+  /// Bytes without an end in place of the answers to requests, or to GET
+  /// /health as well.
+  flood_form Flood = flood_form::None;
+  bool FloodsHealth = false;
+  /// Wait after each unit of the flood.
+  std::chrono::microseconds FloodPause{0};
   /// How long connections are refused after a request whose path contains
   /// "poison".
   std::chrono::milliseconds CrashTime{2000};
--- a/include/skylarkdyke/http/client.hpp
+++ b/include/skylarkdyke/http/client.hpp
@@ -12,6 +12,10 @@
 
 namespace skylarkdyke::http {
 
+/// Largest head of an answer, interim answers (1xx) included, in bytes. Also
+/// the largest line of the chunked coding and the largest trailers.
+inline constexpr std::size_t MaxAnswerHeaderBytes = 8192;
+
 /// \brief Why an exchange brought no whole response.
 enum class exchange_fault {
   ConnectRefused,
@@ -22,6 +26,8 @@
   CallerGone,
   Malformed,
   TooLarge,
+  /// Bytes of a head, or of a body of unknown length, beyond the limits.
+  Endless,
   /// The pool's bound on connections to the peer is reached.
   ConnectionLimit,
 };
@@ -40,6 +46,8 @@
 /// \brief Limits of one exchange.
 struct exchange_limits {
   base::boot_time Deadline;
+  /// Largest body. Head and body, with all of the chunked coding, take at most
+  /// MaxAnswerHeaderBytes more.
   std::size_t MaxAnswerBytes;
   /// Socket of the caller; its closing ends the exchange. -1: none.
   int CallerSocket = -1;
--- a/src/callers/detail/forwarder.cpp
+++ b/src/callers/detail/forwarder.cpp
@@ -316,6 +316,7 @@
   case exchange_fault::Malformed:
     return counter::AnswerMalformed;
   case exchange_fault::TooLarge:
+  case exchange_fault::Endless:
     return counter::AnswerTooLarge;
   case exchange_fault::DeadlinePassed:
     return counter::DeadlinePassed;
@@ -357,6 +358,13 @@
   case exchange_fault::TooLarge:
     return {problem(problem_code::AnswerTooLarge, Outcome,
                     "the target's answer is larger than max_answer_bytes")};
+  case exchange_fault::Endless:
+    // A resource that is too large on every target fails like this, too, so
+    // the target is judged as for an error response.
+    return {problem(problem_code::AnswerTooLarge, Outcome,
+                    "the target's answer exceeds max_answer_bytes or the limit "
+                    "of the head and does not end"),
+            Context.IsSafe, attempt_result::ErrorResponse};
   case exchange_fault::ClosedWithoutAnswer:
     // The target had closed an idle connection before the request was sent,
     // which is no sign of a crash.
--- a/src/callers/detail/headers.hpp
+++ b/src/callers/detail/headers.hpp
@@ -17,10 +17,6 @@
 /// \brief Upper bound of the size of a response on the wire, in bytes.
 std::size_t wireBytes(const http::response &Response);
 
-/// Largest response header that the HTTP client accepts, in bytes (the default
-/// of Boost.Beast).
-inline constexpr std::size_t MaxAnswerHeaderBytes = 8192;
-
 } // namespace skylarkdyke::callers::detail
 
 #endif
--- a/src/callers/detail/relay.cpp
+++ b/src/callers/detail/relay.cpp
@@ -29,7 +29,7 @@
     return {};
   return {{caps::link_cap{From, To}, RequestBytes * BitsPerByte},
           {caps::link_cap{To, From},
-           (MaxAnswerBytes + MaxAnswerHeaderBytes) * BitsPerByte}};
+           (MaxAnswerBytes + http::MaxAnswerHeaderBytes) * BitsPerByte}};
 }
 
 void refundAnswerBytes(const dependencies &Dependencies,
--- a/src/emulators/detail/connection_server.cpp
+++ b/src/emulators/detail/connection_server.cpp
@@ -27,6 +27,11 @@
 /// Interval at which the accepting thread looks for a stop or a crash.
 static constexpr std::chrono::milliseconds PollInterval{20};
 static constexpr int Backlog = 256;
+/// A flood waits for the close after this many bytes, so that a client without
+/// a bound cannot exhaust the machine.
+static constexpr std::size_t MaxFloodBytes = std::size_t{64} << 20U;
+/// Bytes of one write of a flood without pauses.
+static constexpr std::size_t FloodWriteBytes = 16384;
 
 struct connection_server::impl {
   impl(base::endpoint Listen, handler Handler)
@@ -145,6 +150,25 @@
   return Text.str();
 }
 
+/// Sends a flood until the peer or a crash closes the connection.
+static void sendFlood(asio::ip::tcp::socket &Stream, const flood &Flood) {
+  error_code Failure;
+  asio::write(Stream, asio::buffer(Flood.Prefix), Failure);
+  std::string Units = Flood.Unit;
+  while (!Units.empty() && Flood.Pause.count() == 0 &&
+         Units.size() < FloodWriteBytes)
+    Units += Flood.Unit;
+  std::size_t Sent = 0;
+  while (!Failure && !Units.empty() && Sent < MaxFloodBytes) {
+    Sent += asio::write(Stream, asio::buffer(Units), Failure);
+    if (Flood.Pause.count() > 0)
+      std::this_thread::sleep_for(Flood.Pause);
+  }
+  char Ignored = 0;
+  while (!Failure)
+    Stream.read_some(asio::buffer(&Ignored, 1), Failure);
+}
+
 /// Serves one request. Returns whether the connection stays open.
 bool connection_server::impl::serveRequests(asio::ip::tcp::socket &Stream) {
   beast::flat_buffer Buffer;
@@ -156,6 +180,10 @@
   const reply Reply = Handler(toRequest(Message), Stream.native_handle());
   if (Reply.Form == reply::form::CloseWithoutAnswer)
     return false;
+  if (Reply.Form == reply::form::Flood) {
+    sendFlood(Stream, Reply.Flood);
+    return false;
+  }
   std::string Text = serialize(Reply.Response);
   if (Reply.Form == reply::form::Truncated)
     Text.resize(Text.size() - Reply.Response.Body.size() / 2 - 1);
--- a/src/emulators/detail/connection_server.hpp
+++ b/src/emulators/detail/connection_server.hpp
@@ -2,6 +2,7 @@
 #define SKYLARKDYKE_EMULATORS_DETAIL_CONNECTION_SERVER_HPP
 
 #include "skylarkdyke/base/endpoint.hpp"
+#include "skylarkdyke/emulators/flood.hpp"
 #include "skylarkdyke/http/message.hpp"
 
 #include <chrono>
@@ -12,14 +13,16 @@
 
 /// \brief What a connection sends back.
 struct reply {
-  enum class form { Whole, Truncated, CloseWithoutAnswer };
+  enum class form { Whole, Truncated, CloseWithoutAnswer, Flood };
 
   http::response Response;
   form Form = form::Whole;
+  /// What a flood sends until the peer closes.
+  flood Flood;
 };
 
 /// \brief HTTP/1.1 server on Boost.Beast that can also misbehave: truncate,
-/// close and disappear. ulfius allows none of these.
+/// flood, close and disappear. ulfius allows none of these.
 class connection_server {
 public:
   /// Called from the connection's thread with its socket.
--- a/src/emulators/target_emulator.cpp
+++ b/src/emulators/target_emulator.cpp
@@ -69,11 +69,24 @@
       std::chrono::milliseconds(std::strtoll(Text->c_str(), nullptr, 10))));
 }
 
+/// Replaces a reply by the flood of the behaviour, if it has one.
+static void applyFlood(const http::request &Request,
+                       const target_behaviour &Now, reply &Reply) {
+  if (Now.Flood == flood_form::None)
+    return;
+  Reply.Form = reply::form::Flood;
+  Reply.Flood = makeFlood(
+      Now.Flood, http::findHeader(Request.Headers, "Request-Id").value_or(""),
+      Now.FloodPause);
+}
+
 reply target_emulator::impl::handle(const http::request &Request, int Socket) {
   reply Reply;
   if (Request.Target == "/health") {
     const std::lock_guard<std::mutex> Lock(Mutex);
     Reply.Response.Status = Behaviour.Draining ? 503 : 200;
+    if (Behaviour.FloodsHealth)
+      applyFlood(Request, Behaviour, Reply);
     return Reply;
   }
   if (Request.Target == "/load") {
@@ -141,6 +154,7 @@
     Reply.Form = reply::form::Truncated;
   if (Now.ClosesWithoutAnswer)
     Reply.Form = reply::form::CloseWithoutAnswer;
+  applyFlood(Request, Now, Reply);
   return Reply;
 }
 
--- a/src/emulators/target_group.cpp
+++ b/src/emulators/target_group.cpp
@@ -3,6 +3,7 @@
 #include "skylarkdyke/http/server.hpp"
 
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 
 namespace skylarkdyke::emulators {
 
@@ -53,6 +54,9 @@
           {"truncates_answers", Behaviour.TruncatesAnswers},
           {"closes_without_answer", Behaviour.ClosesWithoutAnswer},
           {"answers_wrong_id", Behaviour.AnswersWrongId},
+          {"flood", toString(Behaviour.Flood)},
+          {"floods_health", Behaviour.FloodsHealth},
+          {"flood_pause_us", Behaviour.FloodPause.count()},
           {"crash_ms", Behaviour.CrashTime.count()}};
 }
 
@@ -76,6 +80,13 @@
   Behaviour.TruncatesAnswers = Text.at("truncates_answers").get<bool>();
   Behaviour.ClosesWithoutAnswer = Text.at("closes_without_answer").get<bool>();
   Behaviour.AnswersWrongId = Text.at("answers_wrong_id").get<bool>();
+  const auto Flood = parseFloodForm(Text.at("flood").get<std::string>());
+  if (!Flood)
+    throw std::invalid_argument("unknown form of flood");
+  Behaviour.Flood = *Flood;
+  Behaviour.FloodsHealth = Text.at("floods_health").get<bool>();
+  Behaviour.FloodPause =
+      std::chrono::microseconds(Text.at("flood_pause_us").get<std::int64_t>());
   Behaviour.CrashTime =
       std::chrono::milliseconds(Text.at("crash_ms").get<std::int64_t>());
   return Behaviour;
@@ -152,7 +163,7 @@
   try {
     const json Body = json::parse(Request.Message.Body);
     return IsBehaviour ? changeBehaviour(Body) : crash(Body);
-  } catch (const json::exception &Failure) {
+  } catch (const std::exception &Failure) {
     return answer(400, {{"detail", Failure.what()}});
   }
 }
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -38,6 +38,8 @@
     return "malformed";
   case exchange_fault::TooLarge:
     return "too_large";
+  case exchange_fault::Endless:
+    return "endless";
   case exchange_fault::ConnectionLimit:
     return "connection_limit";
   }
@@ -77,8 +79,6 @@
 }
 
 struct connection::impl {
-  using parser = beast::http::response_parser<beast::http::string_body>;
-
   explicit impl(const base::endpoint &Peer)
       : Socket(Io), Host(base::toString(Peer)) {}
 
@@ -107,7 +107,8 @@
   asio::io_context Io;
   tcp::socket Socket;
   std::string Host;
-  beast::flat_buffer Buffer;
+  /// Holds a head, a line of the chunked coding or trailers, each whole.
+  beast::flat_buffer Buffer{MaxAnswerHeaderBytes};
   bool Reusable = true;
 };
 
@@ -151,8 +152,9 @@
 /// Maps a Beast read error to a fault.
 static exchange_fault faultOf(const error_code &Failure, bool GotSome) {
   if (Failure == beast::http::error::body_limit ||
-      Failure == beast::http::error::header_limit)
-    return exchange_fault::TooLarge;
+      Failure == beast::http::error::header_limit ||
+      Failure == beast::http::error::buffer_overflow)
+    return exchange_fault::Endless;
   if (Failure == beast::http::error::end_of_stream)
     return exchange_fault::ClosedWithoutAnswer;
   if (Failure == beast::http::error::partial_message)
@@ -189,6 +191,90 @@
   return Response;
 }
 
+namespace {
+
+/// Reads one answer, within its limits, behind interim answers.
+class answer_reader {
+public:
+  answer_reader(tcp::socket &Socket, beast::flat_buffer &Buffer,
+                std::size_t MaxAnswerBytes, bool HasNoBody)
+      : Socket(Socket), Buffer(Buffer), MaxAnswerBytes(MaxAnswerBytes),
+        HasNoBody(HasNoBody) {}
+
+  /// Reads until Done; then Fault tells whether the answer is whole.
+  void start() {
+    Parser.emplace();
+    Parser->body_limit(MaxAnswerBytes);
+    Parser->skip(HasNoBody);
+    readSome();
+  }
+
+  bool Done = false;
+  std::optional<exchange_fault> Fault;
+  std::optional<beast::http::response_parser<beast::http::string_body>> Parser;
+
+private:
+  void readSome() {
+    // The head is read by itself (eager is not set yet): otherwise Boost.Beast
+    // would allocate an announced body before it reports that it is too large.
+    beast::http::async_read_some(
+        Socket, Buffer, *Parser,
+        [this](const error_code &Failure, std::size_t Bytes) {
+          Received += Bytes;
+          if (Failure)
+            finish(faultOfRead(Failure));
+          else
+            onSome();
+        });
+  }
+
+  exchange_fault faultOfRead(const error_code &Failure) const {
+    const bool GotHead = Parser->is_header_done();
+    if (Failure == beast::http::error::body_limit && GotHead &&
+        Parser->content_length())
+      return exchange_fault::TooLarge;
+    return faultOf(Failure, GotHead);
+  }
+
+  /// Called when the head, or more of the body, has been read.
+  void onSome() {
+    if (!HasHead && Received > MaxAnswerHeaderBytes)
+      return finish(exchange_fault::Endless);
+    const unsigned Status = Parser->get().result_int();
+    // No request asks for another protocol.
+    if (Status == SwitchingProtocols)
+      return finish(exchange_fault::Malformed);
+    if (Status < FirstFinalStatus)
+      return start();
+    HasHead = true;
+    if (Parser->is_done())
+      return finish(std::nullopt);
+    // Counts the chunked coding, too, which takes part of a link's cap.
+    if (Received > MaxAnswerBytes + MaxAnswerHeaderBytes)
+      return finish(exchange_fault::Endless);
+    Parser->eager(true);
+    readSome();
+  }
+
+  void finish(std::optional<exchange_fault> Result) {
+    Fault = Result;
+    Done = true;
+  }
+
+  static constexpr unsigned SwitchingProtocols = 101;
+  static constexpr unsigned FirstFinalStatus = 200;
+
+  tcp::socket &Socket;
+  beast::flat_buffer &Buffer;
+  std::size_t MaxAnswerBytes;
+  bool HasNoBody;
+  bool HasHead = false;
+  /// Bytes of the answer and of the interim answers so far.
+  std::size_t Received = 0;
+};
+
+} // namespace
+
 base::result<response, exchange_error>
 connection::exchange(const request &Request, const exchange_limits &Limits) {
   impl &Conn = *Impl;
@@ -201,14 +287,10 @@
   if (std::min(Limits.Deadline, Limits.SendBy) <= base::boot_clock::now())
     return exchange_error{exchange_fault::DeadlinePassed, true};
   Conn.Reusable = false;
-  bool Done = false;
   bool CallerLeft = false;
-  error_code Failure;
   const auto Message = toBeast(Request, Conn.Host);
-  impl::parser Parser;
-  Parser.body_limit(Limits.MaxAnswerBytes);
-  if (Request.Method == "HEAD")
-    Parser.skip(true);
+  answer_reader Reader(Conn.Socket, Conn.Buffer, Limits.MaxAnswerBytes,
+                       Request.Method == "HEAD");
   asio::posix::stream_descriptor Caller(Conn.Io);
   if (Limits.CallerSocket >= 0) {
     Caller.assign(dup(Limits.CallerSocket));
@@ -218,32 +300,29 @@
                           CallerLeft = true;
                       });
   }
-  beast::http::async_write(
-      Conn.Socket, Message, [&](error_code Result, std::size_t) {
-        // A write error is not final: the peer may have answered before closing
-        // its side.
-        (void)Result;
-        beast::http::async_read(Conn.Socket, Conn.Buffer, Parser,
-                                [&](error_code ReadResult, std::size_t) {
-                                  Failure = ReadResult;
-                                  Done = true;
-                                });
-      });
-  const auto Interrupted = Conn.runUntil(Done, Limits.Deadline, CallerLeft);
+  beast::http::async_write(Conn.Socket, Message,
+                           [&](error_code Result, std::size_t) {
+                             // A write error is not final: the peer may have
+                             // answered before closing its side.
+                             (void)Result;
+                             Reader.start();
+                           });
+  const auto Interrupted =
+      Conn.runUntil(Reader.Done, Limits.Deadline, CallerLeft);
   error_code Ignored;
   Caller.close(Ignored);
   Conn.Io.restart();
   Conn.Io.poll();
   if (Interrupted)
     return exchange_error{*Interrupted, false};
-  if (Failure || !Parser.is_done()) {
+  if (Reader.Fault) {
     Conn.Socket.close(Ignored);
-    return exchange_error{faultOf(Failure, Parser.is_header_done()), false};
+    return exchange_error{*Reader.Fault, false};
   }
-  Conn.Reusable = Parser.keep_alive() && Conn.Buffer.size() == 0;
+  Conn.Reusable = Reader.Parser->keep_alive() && Conn.Buffer.size() == 0;
   if (!Conn.Reusable)
     Conn.Socket.close(Ignored);
-  return fromBeast(Parser.release());
+  return fromBeast(Reader.Parser->release());
 }
 
 base::result<response, exchange_error> fetch(const base::endpoint &Peer,
--- a/src/targets/prober.cpp
+++ b/src/targets/prober.cpp
@@ -1,5 +1,7 @@
 #include "skylarkdyke/targets/prober.hpp"
 
+#include "skylarkdyke/http/client.hpp"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -18,6 +20,8 @@
 
 /// Maximum size of the body of a probe response in bytes.
 static constexpr std::size_t MaxResponseBytes = 4096;
+/// Responses with a lower status are interim ones.
+static constexpr unsigned FirstFinalStatus = 200;
 
 namespace {
 
@@ -49,8 +53,8 @@
   void sendRequest(const char *Path) {
     Request = {beast::http::verb::get, Path, 11};
     Request.set(beast::http::field::host, base::toString(Address));
-    Parser.emplace();
-    Parser->body_limit(MaxResponseBytes);
+    Received = 0;
+    startParser();
     beast::http::async_write(
         Stream, Request,
         [Self = shared_from_this()](error_code Failure, std::size_t) {
@@ -61,7 +65,30 @@
         });
   }
 
+  void startParser() {
+    Parser.emplace();
+    Parser->body_limit(MaxResponseBytes);
+  }
+
   void readResponse() {
+    // The head is read by itself: a read of the whole response would allocate
+    // an announced body before it checks its size.
+    beast::http::async_read_header(
+        Stream, Buffer, *Parser,
+        [Self = shared_from_this()](error_code Failure, std::size_t Bytes) {
+          Self->Received += Bytes;
+          if (Failure || Self->Received > http::MaxAnswerHeaderBytes)
+            Self->Report(Self->Result);
+          else
+            Self->handleHead();
+        });
+  }
+
+  void handleHead() {
+    if (Parser->get().result_int() < FirstFinalStatus) {
+      startParser();
+      return readResponse();
+    }
     beast::http::async_read(
         Stream, Buffer, *Parser,
         [Self = shared_from_this()](error_code Failure, std::size_t) {
@@ -96,7 +123,10 @@
   prober::result_callback Report;
   probe_result Result;
   beast::http::request<beast::http::empty_body> Request;
-  beast::flat_buffer Buffer;
+  /// Holds a head, a line of the chunked coding or trailers, each whole.
+  beast::flat_buffer Buffer{http::MaxAnswerHeaderBytes};
+  /// Bytes of the response and of the interim responses so far.
+  std::size_t Received = 0;
   std::optional<beast::http::response_parser<beast::http::string_body>> Parser;
 };
 
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -165,6 +165,15 @@
   return ask(Plan.Entries.at(Entry).CallerAddress, Request, 1s).Status == 200;
 }
 
+std::size_t cluster::peakMemory(std::size_t Entry) const {
+  const process &Process = Processes.at(Plan.Entries.at(Entry).Name);
+  std::ifstream Status("/proc/" + std::to_string(Process.id()) + "/status");
+  for (std::string Line; std::getline(Status, Line);)
+    if (Line.rfind("VmHWM:", 0) == 0)
+      return std::stoull(Line.substr(6)) * 1024;
+  return 0;
+}
+
 bool cluster::submit(const config::document &Document) const {
   http::request Read;
   Read.Target = "/v1/kv/skylarkdyke/config";
--- a/tests/support/cluster.hpp
+++ b/tests/support/cluster.hpp
@@ -81,6 +81,9 @@
   /// there is none.
   std::string keyPrefix(std::size_t Entry, const std::string &Service) const;
   bool isReady(std::size_t Entry) const;
+  /// \brief Largest resident memory of an entry since its start, in bytes; 0 if
+  /// it does not run.
+  std::size_t peakMemory(std::size_t Entry) const;
 
   /// \brief Writes a document over the store's API, as an operator's accepted
   /// form would.
--- a/tests/system-path.cpp
+++ b/tests/system-path.cpp
@@ -91,3 +91,52 @@
   const auto Violations = test_support::findViolations(Cluster, Told);
   STRCMP_EQUAL("", Violations.empty() ? "" : Violations[0].c_str());
 }
+
+// Guards against targets that send bytes without an end: entries that run out
+// of memory, requests of other services that fail, and reads that fail although
+// other targets of their service are whole.
+TEST(system_path, TargetsThatFloodHarmNoOtherRequest) {
+  // What an entry uses at rest (15 MB), and a generous allowance for the load;
+  // an unbounded buffer takes the 64 MiB of one flood for each connection.
+  static constexpr std::size_t MaxMemory = std::size_t{64} << 20U;
+  cluster Cluster("rozpalka", 3);
+  CHECK_TRUE(Cluster.start());
+  std::string Flooding;
+  for (const auto &Target : Cluster.Plan.Targets)
+    if (Target.Service == "stock-view" && Flooding.empty())
+      Flooding = base::toString(Target.Listen);
+  test_support::load_shape Shape;
+  Shape.Services = {"drop-confirm"};
+  Shape.OrderShare = 0.5;
+  test_support::background_load Load(Cluster, Shape);
+  for (const char *Form :
+       {"status_line", "header_fields", "interim_answers", "body",
+        "chunked_body", "chunk_size", "chunk_extension", "trailers"}) {
+    Cluster.setBehaviour(
+        "stock-view",
+        {{"target", Flooding}, {"flood", Form}, {"floods_health", true}});
+    const std::string Prefix = Cluster.keyPrefix(0, "stock-view");
+    for (int Count = 0; Count < 24; ++Count) {
+      const std::string Path = std::string("/") + Form + std::to_string(Count);
+      STRCMP_EQUAL_TEXT("completed",
+                        Cluster.get(0, "stock-view", Path).Outcome.c_str(),
+                        Form);
+      const auto Order = Cluster.post(
+          0, "stock-view", Path, Prefix + "." + Form + std::to_string(Count));
+      CHECK_TRUE_TEXT(Order.Outcome == "completed" ||
+                          Order.Outcome == "unknown",
+                      Order.Body.c_str());
+    }
+  }
+  const auto Told = Load.stop();
+  STRCMP_EQUAL("", test_support::firstNotCompleted(Told).c_str());
+  const auto Violations = test_support::findViolations(Cluster, Told);
+  STRCMP_EQUAL("", Violations.empty() ? "" : Violations[0].c_str());
+  for (const auto &[Key, Runs] : Cluster.runsByKey())
+    CHECK_EQUAL_TEXT(1u, Runs, Key.c_str());
+  for (std::size_t Entry = 0; Entry < 3; ++Entry) {
+    const std::size_t Peak = Cluster.peakMemory(Entry);
+    CHECK_TRUE(Peak > 0);
+    CHECK_TRUE_TEXT(Peak < MaxMemory, std::to_string(Peak).c_str());
+  }
+}
--- a/tests/unit-callers-outcomes.cpp
+++ b/tests/unit-callers-outcomes.cpp
@@ -208,3 +208,53 @@
   CHECK_FALSE(Targets.Targets[0]->journal()[0].Finished);
   close(Sockets[0]);
 }
+
+// Guards against a flood that costs its request the whole deadline, against
+// running an order again, and against taking a flood for a crash.
+TEST(callers_outcomes, AnOrderWhoseTargetFloodsIsUnknownAndRunsOnce) {
+  start(2);
+  accrueRetryBudget();
+  for (const emulators::flood_form Form : emulators::AllFloodForms) {
+    if (Form == emulators::flood_form::None ||
+        Form == emulators::flood_form::AfterAnswer)
+      continue;
+    Behaviour.Flood = Form;
+    configureAll();
+    const std::size_t RunsBefore = Targets.runs();
+    const auto Answer = Entry->call(
+        "POST", "/s/orders/x", Entry->key(emulators::toString(Form)), "body");
+    STRCMP_EQUAL_TEXT("unknown", header(Answer, "Request-Outcome").c_str(),
+                      emulators::toString(Form));
+    CHECK_EQUAL_TEXT(callers::number(problem_code::AnswerTooLarge),
+                     test_support::problemCode(Answer),
+                     emulators::toString(Form));
+    CHECK_EQUAL(RunsBefore + 1, Targets.runs());
+  }
+  CHECK_EQUAL(0u, count(counter::Crashes));
+  CHECK_EQUAL(0u, Entry->Service->blockedRequests().size());
+}
+
+// Guards against a safe request that fails although another target is whole.
+TEST(callers_outcomes, AGetWhoseTargetFloodsIsSentToAnotherOne) {
+  for (const emulators::flood_form Form : emulators::AllFloodForms) {
+    if (Form == emulators::flood_form::None ||
+        Form == emulators::flood_form::AnnouncedBody ||
+        Form == emulators::flood_form::AfterAnswer)
+      continue;
+    Entry.reset();
+    Targets.Targets.clear();
+    Targets.Document = test_support::fake_targets().Document;
+    Behaviour.Flood = emulators::flood_form::None;
+    start(2);
+    accrueRetryBudget();
+    accrueRetryBudget();
+    Behaviour.Flood = Form;
+    Targets.Targets[0]->configure(Behaviour);
+    for (int Count = 0; Count < 4; ++Count) {
+      const int Status = Entry->call("GET", "/s/orders/x").Status;
+      CHECK_EQUAL_TEXT(200, Status, emulators::toString(Form));
+    }
+    CHECK_TRUE_TEXT(count(counter::AnswerTooLarge) > 0,
+                    emulators::toString(Form));
+  }
+}
--- a/tests/unit-targets-prober.cpp
+++ b/tests/unit-targets-prober.cpp
@@ -1,3 +1,4 @@
+#include "emulators/detail/connection_server.hpp"
 #include "skylarkdyke/emulators/target_emulator.hpp"
 #include "skylarkdyke/targets/prober.hpp"
 #include "support/free_port.hpp"
@@ -79,3 +80,56 @@
   Prober.start();
   CHECK_FALSE(resultOf("leaving").Healthy);
 }
+
+// Guards against a probe that buffers bytes without an end until its time-out,
+// and delays the probes of other targets meanwhile.
+TEST(targets_prober, AFloodIsUnhealthyAtOnceAndDelaysNoOther) {
+  targets::prober Patient{[this](const targets::probe_result &Result) {
+                            const std::lock_guard<std::mutex> Lock(Mutex);
+                            Results[Result.Target.str()] = Result;
+                            Reported.notify_all();
+                          },
+                          {50ms, 30s}};
+  emulators::target_emulator Good({"127.0.0.1", test_support::freePort()}, {});
+  CHECK_TRUE(Good.start());
+  std::vector<std::unique_ptr<emulators::target_emulator>> Flooding;
+  std::vector<config::target> Probed{target("good", Good.address())};
+  for (const emulators::flood_form Form : emulators::AllFloodForms) {
+    if (Form == emulators::flood_form::None ||
+        Form == emulators::flood_form::AfterAnswer)
+      continue;
+    emulators::target_behaviour Behaviour;
+    Behaviour.Flood = Form;
+    Behaviour.FloodsHealth = true;
+    Flooding.push_back(std::make_unique<emulators::target_emulator>(
+        base::endpoint{"127.0.0.1", test_support::freePort()}, Behaviour));
+    CHECK_TRUE(Flooding.back()->start());
+    Probed.push_back(
+        target(emulators::toString(Form), Flooding.back()->address()));
+  }
+  Patient.configure(Probed);
+  Patient.start();
+  CHECK_TRUE(resultOf("good").Healthy);
+  for (const config::target &Target : Probed)
+    if (Target.Id.str() != "good")
+      CHECK_FALSE(resultOf(Target.Id.str()).Healthy);
+  Patient.stop();
+}
+
+// Guards against an interim answer that is taken for the state of a target.
+TEST(targets_prober, AnInterimAnswerIsNotTheStateOfATarget) {
+  const base::endpoint Address{"127.0.0.1", test_support::freePort()};
+  emulators::detail::connection_server Server(
+      Address, [](const http::request &, int) {
+        emulators::detail::reply Reply;
+        Reply.Form = emulators::detail::reply::form::Flood;
+        Reply.Flood.Prefix = "HTTP/1.1 103 Early Hints\r\n\r\n"
+                             "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+                             "Content-Length: 0\r\n\r\n";
+        return Reply;
+      });
+  CHECK_TRUE(Server.start());
+  Prober.configure({target("hinting", Address)});
+  Prober.start();
+  CHECK_TRUE(resultOf("hinting").Healthy);
+}
