Bound the bytes of responses that come without end

What callers saw: a target that sends without end in a head or body could take 64 MiB per connection of a process that has 160 MB, or keep the loop busy until the deadline of the call. A response header that stated "Content-Length:" ended the process: Beast's string_body reserves the stated length, and std::bad_alloc left the event loop.

Cause: the read buffer, the number of skipped responses and the sum over all connections had no bound, and the body was reserved before its limit applied.

Evidence: with the former http_channel.cpp, net_channel.Ends* and RefusesAn... failed: bad_alloc for the content length; deadline_passed after 3 s for interim responses, foreign responses, chunk size, chunk extension and trailers; malformed instead of excess_bytes for status line, fields, body of unknown length and chunked body. EndsSlowBytesAtTheDeadline, DeliversAResponseOfTheMaximumSize and the test of response_memory alone passed on it; the system test was not run on it.

Why it works: the buffer has a maximum, all bytes of a call and the skipped responses are counted, the body grows with the bytes received, and response_memory ends the largest response of the peer that holds the most once all incomplete responses exceed a quarter of the process's memory.

--- a/include/skylarkdyke/gateway/gateway.hpp
+++ b/include/skylarkdyke/gateway/gateway.hpp
@@ -7,6 +7,7 @@
 #include "skylarkdyke/base/names.hpp"
 #include "skylarkdyke/base/result.hpp"
 #include "skylarkdyke/gateway/change_source.hpp"
+#include "skylarkdyke/net/response_memory.hpp"
 #include "skylarkdyke/routing/route.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -48,6 +49,8 @@
   /// expired during the outage are published again.
   std::chrono::milliseconds RecordRecoveryTime{2000};
   std::size_t MaxDescriptors = 1024;
+  /// Memory above which the platform kills the process.
+  std::size_t MemoryBytes = 256U << 20U;
   /// Number of processor cores that the process may use; may be fractional.
   double ProcessorCores = 1;
   /// Bandwidth of the network link of the process, in Mbit/s.
@@ -109,9 +112,11 @@
 /// All work runs on one event loop, and no call blocks.
 class gateway {
 public:
-  gateway(boost::asio::io_context &Loop, gateway_settings Settings,
-          caller_protocol Protocol, change_source &Source,
-          configuration_decoder Decoder);
+  /// \param Memory bounds the incomplete responses of the process; must
+  /// outlive the event loop
+  gateway(boost::asio::io_context &Loop, net::response_memory &Memory,
+          gateway_settings Settings, caller_protocol Protocol,
+          change_source &Source, configuration_decoder Decoder);
   ~gateway();
 
   /// \brief Binds all addresses and starts to watch the store.
--- a/include/skylarkdyke/net/http_channel.hpp
+++ b/include/skylarkdyke/net/http_channel.hpp
@@ -4,6 +4,7 @@
 #include "skylarkdyke/base/clock.hpp"
 #include "skylarkdyke/base/endpoint.hpp"
 #include "skylarkdyke/base/result.hpp"
+#include "skylarkdyke/net/response_memory.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/http/message.hpp>
@@ -32,6 +33,12 @@
   Truncated,
   /// The bytes received from the peer are not an HTTP response.
   Malformed,
+  /// The peer sent more than a response may have: too long a header, body,
+  /// chunk header or trailer, or too many responses to other requests.
+  ExcessBytes,
+  /// The call was ended because the incomplete responses of the process
+  /// exceeded their memory limit and this peer held the most of it.
+  MemoryLimit,
   DeadlinePassed,
   /// The caller cancelled the call with cancel() or close().
   Cancelled,
@@ -70,8 +77,11 @@
   /// Responses that do not are skipped.
   using response_filter = std::function<bool(const http_response &)>;
 
+  /// \param Memory bounds the incomplete responses of all channels; must
+  /// outlive the channel and the event loop
   static std::shared_ptr<http_channel> create(boost::asio::io_context &Loop,
-                                              const base::endpoint &Peer);
+                                              const base::endpoint &Peer,
+                                              response_memory &Memory);
   ~http_channel();
 
   /// \brief Sends a request and reads its response, and connects first if the
--- a/src/gateway/detail/channel_pool.cpp
+++ b/src/gateway/detail/channel_pool.cpp
@@ -26,7 +26,7 @@
       return Channel;
     Channel->close();
   }
-  return net::http_channel::create(Loop, Address);
+  return net::http_channel::create(Loop, Address, Memory);
 }
 
 void channel_pool::release(const base::target_id &Target,
--- a/src/gateway/detail/channel_pool.hpp
+++ b/src/gateway/detail/channel_pool.hpp
@@ -29,7 +29,8 @@
 /// may take over an address.
 class channel_pool {
 public:
-  explicit channel_pool(boost::asio::io_context &Loop) : Loop(Loop) {}
+  channel_pool(boost::asio::io_context &Loop, net::response_memory &Memory)
+      : Loop(Loop), Memory(Memory) {}
 
   /// \brief Returns the most recently used connection that is still reusable,
   /// or a new one.
@@ -49,6 +50,7 @@
 
 private:
   boost::asio::io_context &Loop;
+  net::response_memory &Memory;
   std::unordered_map<base::target_id,
                      std::vector<std::shared_ptr<net::http_channel>>>
       IdleChannels;
--- a/src/gateway/detail/mesh_link.cpp
+++ b/src/gateway/detail/mesh_link.cpp
@@ -18,11 +18,12 @@
 static constexpr std::size_t MaxMeshConnections = 64;
 static const std::string SnapshotPath = "/snapshot";
 
-mesh_link::mesh_link(boost::asio::io_context &Loop, steering_state &State,
+mesh_link::mesh_link(boost::asio::io_context &Loop,
+                     net::response_memory &Memory, steering_state &State,
                      membership::member_table &Members,
                      base::endpoint OwnAddress, status_source OwnStatus,
                      update_callback OnUpdate)
-    : Loop(Loop), State(State), Members(Members),
+    : Loop(Loop), Memory(Memory), State(State), Members(Members),
       OwnAddress(std::move(OwnAddress)), OwnStatus(std::move(OwnStatus)),
       OnUpdate(std::move(OnUpdate)), Socket(Loop),
       Server(
@@ -135,7 +136,7 @@
 
 void mesh_link::fetchSnapshot(const base::endpoint &From, base::boot_time Now) {
   FetchInProgress = true;
-  SnapshotChannel = net::http_channel::create(Loop, From);
+  SnapshotChannel = net::http_channel::create(Loop, From, Memory);
   net::http_request Request(bhttp::verb::get, SnapshotPath, 11);
   Request.set(bhttp::field::host, base::toString(From));
   Request.set(bhttp::field::connection, "close");
--- a/src/gateway/detail/mesh_link.hpp
+++ b/src/gateway/detail/mesh_link.hpp
@@ -23,9 +23,10 @@
   /// adopted.
   using update_callback = std::function<void()>;
 
-  mesh_link(boost::asio::io_context &Loop, steering_state &State,
-            membership::member_table &Members, base::endpoint OwnAddress,
-            status_source OwnStatus, update_callback OnUpdate);
+  mesh_link(boost::asio::io_context &Loop, net::response_memory &Memory,
+            steering_state &State, membership::member_table &Members,
+            base::endpoint OwnAddress, status_source OwnStatus,
+            update_callback OnUpdate);
 
   /// \brief Binds the mesh address and starts to receive.
   /// \return false if the address cannot be bound
@@ -50,6 +51,7 @@
   void fetchSnapshot(const base::endpoint &From, base::boot_time Now);
 
   boost::asio::io_context &Loop;
+  net::response_memory &Memory;
   steering_state &State;
   membership::member_table &Members;
   base::endpoint OwnAddress;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -52,9 +52,9 @@
 static constexpr std::size_t AddressesPerHeartbeat = 2;
 
 struct gateway::impl {
-  impl(boost::asio::io_context &Loop, gateway_settings InitialSettings,
-       caller_protocol Protocol, change_source &Source,
-       configuration_decoder Decoder);
+  impl(boost::asio::io_context &Loop, net::response_memory &Memory,
+       gateway_settings InitialSettings, caller_protocol Protocol,
+       change_source &Source, configuration_decoder Decoder);
 
   bool start();
   void stop();
@@ -103,7 +103,7 @@
 
 static base::message_limits controlLimits() { return base::message_limits(); }
 
-gateway::impl::impl(boost::asio::io_context &Loop,
+gateway::impl::impl(boost::asio::io_context &Loop, net::response_memory &Memory,
                     gateway_settings InitialSettings,
                     caller_protocol InitialProtocol, change_source &Source,
                     configuration_decoder Decoder)
@@ -114,16 +114,17 @@
       Log(STDOUT_FILENO, Settings.Name),
       State(TargetRegistry, std::move(Decoder), Settings.RecordRecoveryTime,
             [] { return base::boot_clock::now(); }),
-      Pool(Loop), Context{Loop,    Protocol.Headers,
-                          State,   TargetRegistry,
-                          Placer,  Pool,
-                          Retries, Metrics,
-                          Log,     {},
-                          {},      1,
-                          {},      0},
+      Pool(Loop, Memory), Context{Loop,    Protocol.Headers,
+                                  State,   TargetRegistry,
+                                  Placer,  Pool,
+                                  Retries, Metrics,
+                                  Log,     {},
+                                  {},      1,
+                                  {},      0},
       Members(Settings.Mesh, Settings.Region, Settings.RegionOf),
       Mesh(
-          Loop, State, Members, Settings.Mesh, [this] { return ownStatus(); },
+          Loop, Memory, State, Members, Settings.Mesh,
+          [this] { return ownStatus(); },
           [this] { updateShares(base::boot_clock::now()); }),
       FrontServer(
           Loop, maxCallerConnections(), [this] { return callerLimits(); },
@@ -395,10 +396,10 @@
   });
 }
 
-gateway::gateway(boost::asio::io_context &Loop, gateway_settings Settings,
-                 caller_protocol Protocol, change_source &Source,
-                 configuration_decoder Decoder)
-    : Impl(std::make_unique<impl>(Loop, std::move(Settings),
+gateway::gateway(boost::asio::io_context &Loop, net::response_memory &Memory,
+                 gateway_settings Settings, caller_protocol Protocol,
+                 change_source &Source, configuration_decoder Decoder)
+    : Impl(std::make_unique<impl>(Loop, Memory, std::move(Settings),
                                   std::move(Protocol), Source,
                                   std::move(Decoder))) {}
 gateway::~gateway() = default;
--- a/src/net/http_channel.cpp
+++ b/src/net/http_channel.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
@@ -20,8 +21,14 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
-/// Maximum size of a response body.
-static constexpr std::size_t MaxResponseBytes = 64U << 20U;
+/// Maximum size of a response header.
+static constexpr std::uint32_t MaxHeaderBytes = 8192;
+/// Maximum size of what must be read as a whole: a header, the line before a
+/// chunk, or the trailers.
+static constexpr std::size_t MaxBufferBytes = 16384;
+/// Maximum number of interim responses and responses to other requests that
+/// are skipped in one call.
+static constexpr unsigned MaxSkippedResponses = 16;
 /// A connection on which the peer acknowledges nothing for this long is
 /// closed.
 static constexpr std::chrono::milliseconds PeerAckTimeout{1500};
@@ -43,6 +50,10 @@
     return "truncated";
   case channel_fault::Malformed:
     return "malformed";
+  case channel_fault::ExcessBytes:
+    return "excess_bytes";
+  case channel_fault::MemoryLimit:
+    return "memory_limit";
   case channel_fault::DeadlinePassed:
     return "deadline_passed";
   case channel_fault::Cancelled:
@@ -57,19 +68,59 @@
              sizeof(TimeoutMs));
 }
 
+namespace {
+
+/// String body that grows with the bytes received. Beast's string_body reserves
+/// the whole Content-Length, which a peer may state at will.
+struct growing_body {
+  using value_type = std::string;
+
+  class reader {
+  public:
+    template <class Header> reader(Header &, value_type &Body) : Body(Body) {}
+    // Beast requires the names of these functions.
+    // NOLINTBEGIN
+    template <class Length> void init(const Length &, error_code &Failure) {
+      Failure = {};
+    }
+    template <class Buffers>
+    std::size_t put(const Buffers &Bytes, error_code &Failure) {
+      Failure = {};
+      const std::size_t OldSize = Body.size();
+      for (const auto Part : beast::buffers_range_ref(Bytes))
+        Body.append(static_cast<const char *>(Part.data()), Part.size());
+      return Body.size() - OldSize;
+    }
+    void finish(error_code &Failure) { Failure = {}; }
+    // NOLINTEND
+
+  private:
+    value_type &Body;
+  };
+};
+
+} // namespace
+
 struct http_channel::impl {
-  using parser = beast::http::response_parser<beast::http::string_body>;
+  using parser = beast::http::response_parser<growing_body>;
 
-  impl(asio::io_context &Loop, const base::endpoint &Peer)
-      : Loop(Loop), Socket(Loop), Timer(Loop), Peer(Peer) {}
+  impl(asio::io_context &Loop, const base::endpoint &Peer,
+       response_memory &Memory)
+      : Loop(Loop), Socket(Loop), Timer(Loop), Peer(Peer), Memory(Memory),
+        Buffer(MaxBufferBytes) {}
 
   void startConnect(const std::shared_ptr<http_channel> &Self);
   void startExchange(const std::shared_ptr<http_channel> &Self);
   void readResponse(const std::shared_ptr<http_channel> &Self);
+  void readMore(const std::shared_ptr<http_channel> &Self);
+  void onRead(const std::shared_ptr<http_channel> &Self,
+              const error_code &Failure, std::size_t Size);
   void onResponse(const std::shared_ptr<http_channel> &Self,
                   const error_code &Failure);
   void setTimer(const std::shared_ptr<http_channel> &Self,
                 base::boot_time Until, channel_fault Fault);
+  void reclaim(const std::shared_ptr<http_channel> &Self);
+  void releaseMemory();
   void fail(channel_fault Fault);
   void finish(call_result Result);
   void closeSocket() {
@@ -82,6 +133,7 @@
   tcp::socket Socket;
   asio::steady_timer Timer;
   base::endpoint Peer;
+  response_memory &Memory;
   beast::flat_buffer Buffer;
   std::optional<parser> Parser;
   http_request Request;
@@ -90,6 +142,12 @@
   handler OnDone;
   /// Number of the current call; handlers of earlier calls are ignored.
   unsigned CallId = 0;
+  std::optional<response_memory::holding> Holding;
+  /// Bytes of all responses read in the current call.
+  std::size_t ReceivedBytes = 0;
+  unsigned SkippedResponses = 0;
+  /// A read that uses Parser and Buffer is pending.
+  bool ReadPending = false;
   bool Open = false;
   bool Reusable = false;
   bool RequestWritten = false;
@@ -104,9 +162,10 @@
 http_channel::~http_channel() = default;
 
 std::shared_ptr<http_channel> http_channel::create(asio::io_context &Loop,
-                                                   const base::endpoint &Peer) {
+                                                   const base::endpoint &Peer,
+                                                   response_memory &Memory) {
   return std::shared_ptr<http_channel>(
-      new http_channel(std::make_unique<impl>(Loop, Peer)));
+      new http_channel(std::make_unique<impl>(Loop, Peer, Memory)));
 }
 
 void http_channel::call(http_request Request, const call_limits &Limits,
@@ -120,7 +179,13 @@
   State.Reusable = false;
   State.RequestWritten = false;
   State.SendStarted = false;
+  State.ReceivedBytes = 0;
+  State.SkippedResponses = 0;
   const auto Self = shared_from_this();
+  State.Holding.emplace(State.Memory, State.Peer, [Weak = weak_from_this()] {
+    if (const auto Channel = Weak.lock())
+      Channel->Impl->reclaim(Channel);
+  });
   if (State.Open)
     State.startExchange(Self);
   else
@@ -179,22 +244,47 @@
 void http_channel::impl::readResponse(
     const std::shared_ptr<http_channel> &Self) {
   Parser.emplace();
-  Parser->body_limit(MaxResponseBytes);
+  Parser->header_limit(MaxHeaderBytes);
+  Parser->body_limit(Memory.maxResponseBytes());
+  Parser->eager(true);
   if (Request.method() == beast::http::verb::head)
     Parser->skip(true);
-  beast::http::async_read(
+  readMore(Self);
+}
+
+void http_channel::impl::readMore(const std::shared_ptr<http_channel> &Self) {
+  ReadPending = true;
+  beast::http::async_read_some(
       Socket, Buffer, *Parser,
-      [this, Self, Id = CallId](const error_code &Result, std::size_t) {
+      [this, Self, Id = CallId](const error_code &Result, std::size_t Size) {
+        ReadPending = false;
         if (Id == CallId && OnDone)
-          onResponse(Self, Result);
+          onRead(Self, Result, Size);
+        else if (!OnDone)
+          releaseMemory();
       });
 }
 
+void http_channel::impl::onRead(const std::shared_ptr<http_channel> &Self,
+                                const error_code &Failure, std::size_t Size) {
+  ReceivedBytes += Size;
+  if (ReceivedBytes > Memory.maxResponseBytes())
+    return fail(channel_fault::ExcessBytes);
+  if (Failure || Parser->is_done())
+    return onResponse(Self, Failure);
+  Holding->resize(Buffer.capacity() + Parser->get().body().capacity());
+  readMore(Self);
+}
+
 /// Maps a Beast read error to a fault.
 /// \param ReceivedBytes whether part of the response was received
 static channel_fault faultOf(const error_code &Failure, bool ReceivedBytes) {
   if (Failure == beast::http::error::end_of_stream)
     return channel_fault::ClosedBeforeResponse;
+  if (Failure == beast::http::error::header_limit ||
+      Failure == beast::http::error::body_limit ||
+      Failure == beast::http::error::buffer_overflow)
+    return channel_fault::ExcessBytes;
   if (Failure == beast::http::error::partial_message)
     return channel_fault::Truncated;
   if (Failure.category() ==
@@ -221,12 +311,15 @@
     return fail(
         faultOf(Failure, Parser->is_header_done() || Parser->got_some()));
   const bool KeepAlive = Parser->keep_alive();
-  http_response Response = Parser->release();
+  auto Message = Parser->release();
+  http_response Response(std::move(Message.base()), std::move(Message.body()));
   const bool Interim = Response.result_int() < 200;
   if (Interim || !Filter(Response)) {
     UnexpectedBytes = UnexpectedBytes || !Interim;
     if (!KeepAlive)
       return fail(channel_fault::ClosedBeforeResponse);
+    if (++SkippedResponses > MaxSkippedResponses)
+      return fail(channel_fault::ExcessBytes);
     return readResponse(Self);
   }
   Reusable = KeepAlive && RequestWritten && Buffer.size() == 0;
@@ -237,11 +330,31 @@
                         keepAliveOf(Response) * KeepAliveFraction);
   else
     closeSocket();
+  Holding.reset();
   finish(std::move(Response));
 }
 
+/// Ends the call from a handler of its own, because the memory is reclaimed
+/// while another channel handles its bytes.
+void http_channel::impl::reclaim(const std::shared_ptr<http_channel> &Self) {
+  asio::post(Loop, [this, Self, Id = CallId] {
+    if (Id == CallId && OnDone)
+      fail(channel_fault::MemoryLimit);
+  });
+}
+
+void http_channel::impl::releaseMemory() {
+  Parser.reset();
+  Buffer.clear();
+  Buffer.shrink_to_fit();
+  Holding.reset();
+}
+
 void http_channel::impl::fail(channel_fault Fault) {
   closeSocket();
+  // A pending read releases the memory once it has been aborted.
+  if (!ReadPending)
+    releaseMemory();
   finish(channel_error{Fault, !SendStarted});
 }
 
--- a/tests/support/platform_stand_in.cpp
+++ b/tests/support/platform_stand_in.cpp
@@ -5,8 +5,12 @@
 #include "support/free_port.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
 #include <future>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -33,6 +37,26 @@
   std::shared_ptr<boost::asio::steady_timer> Timer;
 };
 
+/// A connection on which a target sends without end.
+struct flood : std::enable_shared_from_this<flood> {
+  flood(boost::asio::io_context &Loop, std::string Bytes)
+      : Socket(Loop), Piece(std::move(Bytes)) {}
+
+  void send(const std::string &Bytes) {
+    boost::asio::async_write(
+        Socket, boost::asio::buffer(Bytes),
+        [Self = shared_from_this()](auto Failure, std::size_t) {
+          if (!Failure)
+            Self->send(Self->Piece);
+        });
+  }
+
+  boost::asio::ip::tcp::socket Socket;
+  boost::asio::streambuf Request;
+  std::string Start;
+  std::string Piece;
+};
+
 struct stand_in_target {
   std::string Id;
   std::string Service;
@@ -42,6 +66,9 @@
   bool LosesAnswers = false;
   int Runs = 0;
   std::unique_ptr<net::http_server> Server;
+  std::unique_ptr<boost::asio::ip::tcp::acceptor> FloodAcceptor;
+  std::string FloodStart;
+  std::string FloodPiece;
 };
 
 std::string queryField(const std::string &Target, const std::string &Name) {
@@ -72,6 +99,7 @@
   void write(const pending &Request);
   int put(const std::string &Key, const std::string &Value, bool Deleted);
   void handleTarget(stand_in_target &Target, const pending &Request);
+  void acceptFlood(stand_in_target &Target);
   int publish(stand_in_target &Target, const std::string &State);
 
   boost::asio::io_context Loop;
@@ -100,7 +128,8 @@
   onLoop([this] {
     Watches.clear();
     for (const auto &[Id, Target] : Targets)
-      Target->Server->stopAccepting();
+      if (Target->Server)
+        Target->Server->stopAccepting();
     Store->stopAccepting();
     return 0;
   });
@@ -217,6 +246,31 @@
   });
 }
 
+void platform_stand_in::impl::acceptFlood(stand_in_target &Target) {
+  const auto Flood = std::make_shared<flood>(Loop, Target.FloodPiece);
+  Flood->Start = Target.FloodStart;
+  Target.FloodAcceptor->async_accept(
+      Flood->Socket, [this, &Target, Flood](auto AcceptFailure) {
+        if (AcceptFailure)
+          return;
+        boost::asio::async_read_until(
+            Flood->Socket, Flood->Request, "\r\n\r\n",
+            [this, &Target, Flood](auto Failure, std::size_t) {
+              if (Failure)
+                return;
+              const std::string Head(
+                  boost::asio::buffers_begin(Flood->Request.data()),
+                  boost::asio::buffers_end(Flood->Request.data()));
+              const std::string Name = "Skylarkdyke-Request-Id: ";
+              const std::size_t From = Head.find(Name) + Name.size();
+              ++Target.Runs;
+              ++Runs[Head.substr(From, Head.find('\r', From) - From)];
+              Flood->send(Flood->Start);
+            });
+        acceptFlood(Target);
+      });
+}
+
 int platform_stand_in::impl::publish(stand_in_target &Target,
                                      const std::string &State) {
   return put(
@@ -274,6 +328,31 @@
   });
 }
 
+void platform_stand_in::addFloodingTarget(const std::string &Id,
+                                          const std::string &Service,
+                                          const std::string &Zone,
+                                          const std::string &Start,
+                                          const std::string &Piece) {
+  using boost::asio::ip::tcp;
+  Impl->onLoop([&] {
+    auto &Target = Impl->Targets[Id];
+    Target = std::make_unique<stand_in_target>();
+    Target->Id = Id;
+    Target->Service = Service;
+    Target->Zone = Zone;
+    Target->Address = {"127.0.0.1", freePort()};
+    Target->FloodStart = Start;
+    while (Target->FloodPiece.size() < 8192)
+      Target->FloodPiece += Piece;
+    Target->FloodAcceptor = std::make_unique<tcp::acceptor>(
+        Impl->Loop,
+        tcp::endpoint(boost::asio::ip::make_address(Target->Address.Address),
+                      Target->Address.Port));
+    Impl->acceptFlood(*Target);
+    return Impl->publish(*Target, "ready");
+  });
+}
+
 void platform_stand_in::loseAnswers(const std::string &Id) {
   Impl->onLoop([&] { return Impl->Targets.at(Id)->LosesAnswers = true; });
 }
--- a/tests/support/platform_stand_in.hpp
+++ b/tests/support/platform_stand_in.hpp
@@ -38,6 +38,12 @@
   /// answer, after it has run the request.
   void loseAnswers(const std::string &Id);
 
+  /// \brief Registers a target that runs each request and then sends Start and
+  /// Piece without end in place of an answer.
+  void addFloodingTarget(const std::string &Id, const std::string &Service,
+                         const std::string &Zone, const std::string &Start,
+                         const std::string &Piece);
+
   /// \brief Registers a target whose address refuses connections.
   void addUnreachableTarget(const std::string &Id, const std::string &Service,
                             const std::string &Zone);
--- a/tests/system-serve.cpp
+++ b/tests/system-serve.cpp
@@ -39,7 +39,8 @@
                               const base::endpoint &Seed) {
   std::ostringstream Text;
   Text << "[self]\nnode_name = \"" << Name << "\"\nzone = \"z\"\n"
-       << "region = \"r\"\n[self.limits]\ncpu_share = 0.2\nmax_fds = 1000\n"
+       << "region = \"r\"\n[self.limits]\ncpu_share = 0.2\nmax_fds = "
+          "1000\nmemory_mb = 160\n"
        << "[network]\nseeds = [\"" << base::toString(Seed) << "\"]\n"
        << "[network.bind]\nfront = \"" << base::toString(Entry.Front)
        << "\"\nreadiness = \"" << base::toString(Entry.Readiness)
@@ -266,3 +267,36 @@
     Answered += Runs;
   LONGS_EQUAL(Answered, Served);
 }
+
+// Guards against a target that sends without end: orders get no 503 after they
+// have run, other requests go to another target, and the process lives on.
+TEST(system_serve, ATargetThatSendsWithoutEndHarmsNoOtherRequest) {
+  Platform.addFloodingTarget("f1", "orders", "z", "HTTP/1.1 200 OK\r\n\r\n",
+                             "body");
+  Platform.addFloodingTarget("f2", "orders", "z", "HTTP/1.1 200 OK\r\n",
+                             "X-Field: value\r\n");
+  Platform.addFloodingTarget(
+      "f3", "orders", "z",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;", "name");
+  Platform.addFloodingTarget("f4", "orders", "z", "HTTP/1.1 100 ",
+                             "C\r\n\r\nHTTP/1.1 100 ");
+  Platform.addFloodingTarget(
+      "f5", "orders", "z",
+      "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", "body");
+  startEntries(1);
+  std::string Answer;
+  for (int I = 0; I < 20; ++I) {
+    const std::string Once = "fo" + std::to_string(I);
+    const int Status =
+        askRoute(Entries[0].Front, Once, "POST", "/once/x", Answer);
+    const int Runs = Platform.runs()[Once];
+    CHECK_TRUE(Status == 200 || Status == 502 || Status == 503);
+    LONGS_EQUAL(Status == 503 ? 0 : 1, Runs);
+    const auto Sent = base::boot_clock::now();
+    const int SafeStatus = askRoute(Entries[0].Front, "fs" + std::to_string(I),
+                                    "GET", "/safe/x", Answer);
+    CHECK_TRUE(SafeStatus == 200 || SafeStatus == 502);
+    CHECK_TRUE(base::boot_clock::now() - Sent < 1500ms);
+  }
+  LONGS_EQUAL(200, ask(Entries[0].Readiness, "GET", "/api/readyz"));
+}
--- a/tests/unit-gateway-state.cpp
+++ b/tests/unit-gateway-state.cpp
@@ -184,6 +184,8 @@
   };
   CHECK(IsUnknown(net::channel_fault::ClosedBeforeResponse, false));
   CHECK(IsUnknown(net::channel_fault::DeadlinePassed, false));
+  CHECK(IsUnknown(net::channel_fault::ExcessBytes, false));
+  CHECK(IsUnknown(net::channel_fault::MemoryLimit, false));
   CHECK(!IsUnknown(net::channel_fault::ConnectRefused, true));
 }
 
--- a/tests/unit-net-channel.cpp
+++ b/tests/unit-net-channel.cpp
@@ -1,11 +1,16 @@
 #include "skylarkdyke/net/http_channel.hpp"
 #include "support/free_port.hpp"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
+#include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 // Last, because it redefines "new".
 #include <CppUTest/TestHarness.h>
@@ -16,6 +21,7 @@
 using net::channel_fault;
 
 TEST_GROUP(net_channel) {
+  net::response_memory Memory{4U << 20U};
   boost::asio::io_context Loop;
   base::endpoint Peer{"127.0.0.1", test_support::freePort()};
   tcp::acceptor Acceptor{
@@ -24,17 +30,27 @@
   tcp::socket Accepted{Loop};
   boost::asio::streambuf Received;
   std::shared_ptr<net::http_channel> Channel =
-      net::http_channel::create(Loop, Peer);
+      net::http_channel::create(Loop, Peer, Memory);
   std::optional<net::call_result> Result;
+  /// Most bytes that the kernel holds between the two ends of a connection.
+  static constexpr std::size_t SocketBufferBytes = 12U << 20U;
+  std::string Flood;
+  std::chrono::milliseconds FloodPause{0};
+  std::size_t FloodedBytes = 0;
+  boost::asio::steady_timer FloodTimer{Loop};
+  boost::asio::steady_timer DelayTimer{Loop};
+  std::chrono::nanoseconds LongestDelay{0};
 
   void teardown() override {
+    FloodTimer.cancel();
+    Accepted.close();
     Channel->close();
     Loop.poll();
   }
 
   /// Makes a call. The peer sends Bytes once it has received the request, and
   /// then keeps, closes or resets the connection.
-  enum class connection_end { Keep, Close, Reset };
+  enum class connection_end { Keep, Close, Reset, Flood };
   void call(const std::string &Bytes, connection_end End,
             std::chrono::milliseconds Timeout = 200ms) {
     Result.reset();
@@ -70,10 +86,53 @@
           boost::asio::write(Accepted, boost::asio::buffer(Bytes));
           if (End == connection_end::Reset)
             Accepted.set_option(boost::asio::socket_base::linger(true, 0));
-          if (End != connection_end::Keep)
+          if (End == connection_end::Flood)
+            sendFlood();
+          else if (End != connection_end::Keep)
             Accepted.close();
         });
   }
+  /// Makes a call to a peer that sends Start and then Piece without end, and
+  /// meanwhile measures the longest delay of another task of the loop.
+  void callFlooder(const std::string &Start, const std::string &Piece,
+                   std::chrono::milliseconds Pause = 0ms) {
+    Flood = Piece;
+    while (Pause == 0ms && Flood.size() < 8192)
+      Flood += Piece;
+    FloodPause = Pause;
+    measureDelay();
+    call(Start, connection_end::Flood, 3s);
+    DelayTimer.cancel();
+  }
+  void sendFlood() {
+    boost::asio::async_write(Accepted, boost::asio::buffer(Flood),
+                             [this](auto Failure, std::size_t Size) {
+                               FloodedBytes += Size;
+                               if (Failure)
+                                 return;
+                               FloodTimer.expires_after(FloodPause);
+                               FloodTimer.async_wait([this](auto Cancelled) {
+                                 if (!Cancelled)
+                                   sendFlood();
+                               });
+                             });
+  }
+  void measureDelay() {
+    const auto Due = base::boot_clock::now() + 5ms;
+    DelayTimer.expires_after(5ms);
+    DelayTimer.async_wait([this, Due](auto Cancelled) {
+      LongestDelay = std::max(LongestDelay, base::boot_clock::now() - Due);
+      if (!Cancelled)
+        measureDelay();
+    });
+  }
+  /// Checks that a call ended because of its bytes, soon and without delay for
+  /// other tasks, and that no more than one response was taken.
+  void checkFloodEnded() {
+    checkFault(channel_fault::ExcessBytes);
+    CHECK(LongestDelay < 100ms);
+    CHECK(FloodedBytes < Memory.maxResponseBytes() + SocketBufferBytes);
+  }
   void checkFault(channel_fault Fault) {
     CHECK(!*Result);
     STRCMP_EQUAL(net::toString(Fault), net::toString(Result->error().Fault));
@@ -172,3 +231,108 @@
   CHECK(Result->error().NothingSent);
   CHECK(Result->error().Fault == channel_fault::ConnectRefused);
 }
+
+// Each of these tests guards against a process that is killed for its memory,
+// or works on one call until its deadline, because a peer sends without end.
+TEST(net_channel, EndsAStatusLineWithoutEnd) {
+  callFlooder("HTTP/1.1 200 ", "OK");
+  checkFloodEnded();
+}
+
+TEST(net_channel, EndsHeaderFieldsWithoutEnd) {
+  callFlooder("HTTP/1.1 200 OK\r\n", "X-Field: value\r\n");
+  checkFloodEnded();
+}
+
+TEST(net_channel, EndsInterimResponsesWithoutEnd) {
+  callFlooder("", "HTTP/1.1 102 Processing\r\n\r\n");
+  checkFloodEnded();
+  CHECK(FloodedBytes < SocketBufferBytes);
+}
+
+TEST(net_channel, EndsResponsesToOtherRequestsWithoutEnd) {
+  callFlooder("", response("X-Id: other\r\nContent-Length: 2\r\n", "no"));
+  checkFloodEnded();
+  CHECK(FloodedBytes < SocketBufferBytes);
+}
+
+TEST(net_channel, EndsABodyOfUnknownLengthWithoutEnd) {
+  callFlooder(response("", ""), "body");
+  checkFloodEnded();
+}
+
+TEST(net_channel, EndsAChunkedBodyWithoutEnd) {
+  callFlooder(response("Transfer-Encoding: chunked\r\n", ""), "4\r\nbody\r\n");
+  checkFloodEnded();
+}
+
+TEST(net_channel, EndsAChunkSizeWithoutEnd) {
+  callFlooder(response("Transfer-Encoding: chunked\r\n", ""), "0");
+  checkFloodEnded();
+}
+
+TEST(net_channel, EndsAChunkExtensionWithoutEnd) {
+  callFlooder(response("Transfer-Encoding: chunked\r\n", "4;"), "name");
+  checkFloodEnded();
+}
+
+TEST(net_channel, EndsTrailersWithoutEnd) {
+  callFlooder(response("Transfer-Encoding: chunked\r\n", "0\r\n"),
+              "X-Field: value\r\n");
+  checkFloodEnded();
+}
+
+TEST(net_channel, RefusesAnExcessiveContentLengthAtOnce) {
+  callFlooder(response("Content-Length: 1000000000000\r\n", ""), "body");
+  checkFloodEnded();
+  CHECK(FloodedBytes < SocketBufferBytes);
+}
+
+// Guards against calls that a peer keeps alive beyond their deadline with a
+// few bytes at a time.
+TEST(net_channel, EndsSlowBytesAtTheDeadline) {
+  for (const auto &Start :
+       {std::string("HTTP/1.1 200 "), std::string("HTTP/1.1 200 OK\r\nX: "),
+        response("", ""), response("Content-Length: 100000\r\n", ""),
+        response("Transfer-Encoding: chunked\r\n", "4;")}) {
+    Flood = "x";
+    FloodPause = 5ms;
+    const auto Before = base::boot_clock::now();
+    call(Start, connection_end::Flood, 100ms);
+    checkFault(channel_fault::DeadlinePassed);
+    CHECK(base::boot_clock::now() - Before < 200ms);
+    FloodTimer.cancel();
+    Accepted.close();
+    Loop.poll();
+    Received.consume(Received.size());
+    Channel = net::http_channel::create(Loop, Peer, Memory);
+  }
+}
+
+// Guards against limits that also end responses of a proper size.
+TEST(net_channel, DeliversAResponseOfTheMaximumSize) {
+  const std::string Body(Memory.maxResponseBytes() - 1024, 'x');
+  call(response("Connection: close\r\n", Body), connection_end::Close, 3s);
+  CHECK_TRUE(Result->has_value());
+  CHECK(Result->value().body() == Body);
+}
+
+// Guards against memory that grows with the number of connections, and against
+// the end of a small response because another peer sends without end: the
+// responses of the peer that holds the most are ended, the largest first.
+TEST(net_channel, IncompleteResponsesShareTheMemoryOfTheProcess) {
+  std::vector<std::string> Ended;
+  std::vector<std::unique_ptr<net::response_memory::holding>> Flooding;
+  net::response_memory::holding Innocent(Memory, {"10.0.0.1", 1},
+                                         [&] { Ended.emplace_back("small"); });
+  Innocent.resize(900000);
+  for (int I = 0; I < 12; ++I) {
+    Flooding.push_back(std::make_unique<net::response_memory::holding>(
+        Memory, base::endpoint{"10.0.0.2", 1},
+        [&, I] { Ended.push_back("flood" + std::to_string(I)); }));
+    Flooding.back()->resize(I == 3 ? 400000 : 300000);
+  }
+  CHECK(!Ended.empty());
+  STRCMP_EQUAL("flood3", Ended.front().c_str());
+  CHECK(std::count(Ended.begin(), Ended.end(), "small") == 0);
+}
--- a/tests/unit-platform-wire.cpp
+++ b/tests/unit-platform-wire.cpp
@@ -131,6 +131,7 @@
 [self.limits]
 cpu_share = 0.2
 max_fds = 4100
+memory_mb = 160
 [network]
 port_range = [7620, 7635]
 seeds = ["10.0.0.2:8649"]
@@ -149,6 +150,7 @@
   CHECK(Settings.has_value());
   CHECK(Settings.value().Gateway.StopGrace == 6s);
   DOUBLES_EQUAL(0.2, Settings.value().Gateway.ProcessorCores, 1e-9);
+  LONGS_EQUAL(160000000, Settings.value().Gateway.MemoryBytes);
   LONGS_EQUAL(7620, Settings.value().Gateway.Metrics->Port);
   const auto Invalid =
       platform::parseNodeSettings("[self]\nzone = \"z\"\n", "f");
