--- a/src/net/one_shot_timer.cpp
+++ b/src/net/one_shot_timer.cpp
@@ -33,7 +33,8 @@
 
 void one_shot_timer::cancel() {
   ++Impl->WaitId;
-  Impl->Timer.cancel();
+  boost::system::error_code Ignored;
+  Impl->Timer.cancel(Ignored);
 }
 
 } // namespace skylarkdyke::net
