Split exchange.cpp and gateway.cpp by topic

The weighted round robin, the demand meter and the log lines of an exchange get files of their own; the directory responses become directory_service. No behavior changes. An unused constant (MaxTtlFactor) goes.

--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -1,7 +1,5 @@
 #include "gateway/detail/exchange.hpp"
 
-#include "gateway/detail/demand_history.hpp"
-
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -36,43 +34,6 @@
 /// Maximum number of unreachable targets after which another target is still
 /// tried.
 static constexpr unsigned MaxUnreachableTargets = 3;
-/// One in this many successful requests is logged; all other requests are
-/// logged without sampling.
-static constexpr std::uint64_t LogSamplingInterval = 64;
-
-std::size_t weighted_round_robin::next(const routing::route &Route) {
-  if (Route.Services.size() == 1)
-    return 0;
-  auto &Credit = CreditByRoute[Route.Name];
-  if (Credit.size() != Route.Services.size())
-    Credit.assign(Route.Services.size(), 0);
-  double Total = 0;
-  std::size_t Best = 0;
-  for (std::size_t I = 0; I < Credit.size(); ++I) {
-    Credit[I] += Route.Services[I].Weight;
-    Total += Route.Services[I].Weight;
-    if (Credit[I] > Credit[Best])
-      Best = I;
-  }
-  Credit[Best] -= Total;
-  return Best;
-}
-
-void demand_meter::count(const base::service_name &Service,
-                         base::boot_time Now) {
-  Counts.emplace(Service, admission::sliding_window_counter(DemandWindow))
-      .first->second.add(Now);
-}
-
-std::map<std::string, double> demand_meter::rates(base::boot_time Now) {
-  std::map<std::string, double> Rates;
-  const std::chrono::duration<double> Seconds = DemandWindow;
-  for (auto &[Service, Count] : Counts)
-    Rates[Service.str()] =
-        static_cast<double>(Count.count(Now)) / Seconds.count();
-  return Rates;
-}
-
 void exchange::start(steering_context &Context,
                      std::shared_ptr<net::pending_request> Caller) {
   const auto Self = std::make_shared<exchange>(Context, std::move(Caller));
@@ -427,81 +388,4 @@
   respond(std::move(Response), Reason.c_str());
 }
 
-void exchange::logFailedAttempt(const attempt &Attempt,
-                                const std::string &Reason,
-                                bool AttemptMayHaveRun) {
-  const auto Now = base::boot_clock::now();
-  const std::string RequestId = requestHeader(Context.Headers.RequestId);
-  const placement::target_state *State =
-      Context.TargetRegistry.find(Attempt.Chosen.Id);
-  SKYLARKDYKE_DECISION(
-      Context.Log, SendFailed, Now,
-      {{"request", RequestId},
-       {"target", Attempt.Chosen.Id.str()},
-       {"reason", Reason},
-       {"may_have_run", AttemptMayHaveRun},
-       {"expected_load", Attempt.Chosen.ExpectedLoad},
-       {"warm", Attempt.Chosen.Warm},
-       {"took_ms", nanoseconds(Now - Attempt.SentAt)},
-       {"ejected", State != nullptr && State->EjectedUntil > Now}});
-}
-
-/// Logs a response that does not reach the caller. The exchange may have ended
-/// by then.
-void exchange::logLostResponse() {
-  Caller->onResponseLost(
-      [&Context = Context, RequestId = requestHeader(Context.Headers.RequestId),
-       ArrivedAt = Caller->arrivedAt()](const std::string &Reason) {
-        const auto Now = base::boot_clock::now();
-        Context.Metrics
-            .counter("skylarkdyke_responses_lost_total",
-                     "Responses that could not be written to the caller", {})
-            .add();
-        SKYLARKDYKE_DECISION(Context.Log, ResponseLost, Now,
-                             {{"request", RequestId},
-                              {"reason", Reason},
-                              {"took_ms", nanoseconds(Now - ArrivedAt)}});
-      });
-}
-
-void exchange::logRequest(unsigned Status, const char *Outcome) {
-  const auto Now = base::boot_clock::now();
-  const std::string RequestId = requestHeader(Context.Headers.RequestId);
-  const std::string Route = Query.Route ? Query.Route->Name : "";
-  Context.Metrics
-      .counter("skylarkdyke_requests_total", "Requests by route and outcome",
-               {{"route", Route}, {"outcome", Outcome}})
-      .add();
-  Context.Metrics
-      .latency("skylarkdyke_request_seconds", "Time to the final answer",
-               {{"route", Route}})
-      .observe(Now - Caller->arrivedAt());
-  const bool Succeeded = Status >= 200 && Status < 300;
-  if (Succeeded &&
-      std::hash<std::string>()(RequestId) % LogSamplingInterval != 0)
-    return;
-  const placement::chosen_target *LastTarget =
-      Attempts.empty() ? nullptr : &Attempts.back().Chosen;
-  SKYLARKDYKE_DECISION(
-      Context.Log, RequestEnded, Now,
-      {{"request", RequestId},
-       {"route", Route},
-       {"config_version",
-        static_cast<std::int64_t>(Routes ? Routes->version() : 0)},
-       {"state_revision",
-        static_cast<std::int64_t>(Context.State.confirmedRevision())},
-       {"status", static_cast<std::int64_t>(Status)},
-       {"outcome", Outcome},
-       {"last_reason", LastFailureReason},
-       {"sends", static_cast<std::int64_t>(Attempts.size())},
-       {"target", LastTarget ? std::string_view(LastTarget->Id.str()) : ""},
-       {"expected_load", LastTarget ? LastTarget->ExpectedLoad : 0.0},
-       {"expected_work_ms",
-        LastTarget ? LastTarget->ExpectedProcessingTime : nanoseconds(0)},
-       {"expected_wait_ms",
-        LastTarget ? LastTarget->ExpectedWait : nanoseconds(0)},
-       {"time_left_ms", nanoseconds(Query.Deadline - Now)},
-       {"took_ms", nanoseconds(Now - Caller->arrivedAt())}});
-}
-
 } // namespace skylarkdyke::gateway::detail
--- a/src/gateway/detail/exchange.hpp
+++ b/src/gateway/detail/exchange.hpp
@@ -2,9 +2,11 @@
 #define SKYLARKDYKE_GATEWAY_DETAIL_EXCHANGE_HPP
 
 #include "gateway/detail/channel_pool.hpp"
+#include "gateway/detail/demand_meter.hpp"
 #include "gateway/detail/send_outcome.hpp"
 #include "gateway/detail/steering_state.hpp"
 #include "gateway/detail/stop_schedule.hpp"
+#include "gateway/detail/weighted_round_robin.hpp"
 #include "skylarkdyke/admission/retry_allowance.hpp"
 #include "skylarkdyke/metrics/registry.hpp"
 #include "skylarkdyke/net/http_server.hpp"
@@ -15,36 +17,11 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
 namespace skylarkdyke::gateway::detail {
 
-/// \brief Distributes the requests of a route over its services by smooth
-/// weighted round-robin: each service gets its share of every sequence of
-/// requests, not only on average.
-class weighted_round_robin {
-public:
-  /// \return index of the service that is furthest below its share
-  std::size_t next(const routing::route &Route);
-
-private:
-  std::unordered_map<std::string, std::vector<double>> CreditByRoute;
-};
-
-/// \brief Measures the requests per second of the callers of this entry, by
-/// service.
-class demand_meter {
-public:
-  void count(const base::service_name &Service, base::boot_time Now);
-  std::map<std::string, double> rates(base::boot_time Now);
-
-private:
-  std::unordered_map<base::service_name, admission::sliding_window_counter>
-      Counts;
-};
-
 class exchange;
 
 /// \brief State that all exchanges of an entry share.
--- /dev/null
+++ b/src/gateway/detail/exchange_log.cpp
@@ -0,0 +1,88 @@
+#include "gateway/detail/exchange.hpp"
+
+namespace skylarkdyke::gateway::detail {
+
+using std::chrono::nanoseconds;
+
+/// One in this many successful requests is logged; all other requests are
+/// logged without sampling.
+static constexpr std::uint64_t LogSamplingInterval = 64;
+
+void exchange::logFailedAttempt(const attempt &Attempt,
+                                const std::string &Reason,
+                                bool AttemptMayHaveRun) {
+  const auto Now = base::boot_clock::now();
+  const std::string RequestId = requestHeader(Context.Headers.RequestId);
+  const placement::target_state *State =
+      Context.TargetRegistry.find(Attempt.Chosen.Id);
+  SKYLARKDYKE_DECISION(
+      Context.Log, SendFailed, Now,
+      {{"request", RequestId},
+       {"target", Attempt.Chosen.Id.str()},
+       {"reason", Reason},
+       {"may_have_run", AttemptMayHaveRun},
+       {"expected_load", Attempt.Chosen.ExpectedLoad},
+       {"warm", Attempt.Chosen.Warm},
+       {"took_ms", nanoseconds(Now - Attempt.SentAt)},
+       {"ejected", State != nullptr && State->EjectedUntil > Now}});
+}
+
+/// Logs a response that does not reach the caller. The exchange may have ended
+/// by then.
+void exchange::logLostResponse() {
+  Caller->onResponseLost(
+      [&Context = Context, RequestId = requestHeader(Context.Headers.RequestId),
+       ArrivedAt = Caller->arrivedAt()](const std::string &Reason) {
+        const auto Now = base::boot_clock::now();
+        Context.Metrics
+            .counter("skylarkdyke_responses_lost_total",
+                     "Responses that could not be written to the caller", {})
+            .add();
+        SKYLARKDYKE_DECISION(Context.Log, ResponseLost, Now,
+                             {{"request", RequestId},
+                              {"reason", Reason},
+                              {"took_ms", nanoseconds(Now - ArrivedAt)}});
+      });
+}
+
+void exchange::logRequest(unsigned Status, const char *Outcome) {
+  const auto Now = base::boot_clock::now();
+  const std::string RequestId = requestHeader(Context.Headers.RequestId);
+  const std::string Route = Query.Route ? Query.Route->Name : "";
+  Context.Metrics
+      .counter("skylarkdyke_requests_total", "Requests by route and outcome",
+               {{"route", Route}, {"outcome", Outcome}})
+      .add();
+  Context.Metrics
+      .latency("skylarkdyke_request_seconds", "Time to the final answer",
+               {{"route", Route}})
+      .observe(Now - Caller->arrivedAt());
+  const bool Succeeded = Status >= 200 && Status < 300;
+  if (Succeeded &&
+      std::hash<std::string>()(RequestId) % LogSamplingInterval != 0)
+    return;
+  const placement::chosen_target *LastTarget =
+      Attempts.empty() ? nullptr : &Attempts.back().Chosen;
+  SKYLARKDYKE_DECISION(
+      Context.Log, RequestEnded, Now,
+      {{"request", RequestId},
+       {"route", Route},
+       {"config_version",
+        static_cast<std::int64_t>(Routes ? Routes->version() : 0)},
+       {"state_revision",
+        static_cast<std::int64_t>(Context.State.confirmedRevision())},
+       {"status", static_cast<std::int64_t>(Status)},
+       {"outcome", Outcome},
+       {"last_reason", LastFailureReason},
+       {"sends", static_cast<std::int64_t>(Attempts.size())},
+       {"target", LastTarget ? std::string_view(LastTarget->Id.str()) : ""},
+       {"expected_load", LastTarget ? LastTarget->ExpectedLoad : 0.0},
+       {"expected_work_ms",
+        LastTarget ? LastTarget->ExpectedProcessingTime : nanoseconds(0)},
+       {"expected_wait_ms",
+        LastTarget ? LastTarget->ExpectedWait : nanoseconds(0)},
+       {"time_left_ms", nanoseconds(Query.Deadline - Now)},
+       {"took_ms", nanoseconds(Now - Caller->arrivedAt())}});
+}
+
+} // namespace skylarkdyke::gateway::detail
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/detail/channel_pool.hpp"
 #include "gateway/detail/demand_history.hpp"
+#include "gateway/detail/directory_service.hpp"
 #include "gateway/detail/exchange.hpp"
 #include "gateway/detail/gauges.hpp"
 #include "gateway/detail/loop_lateness.hpp"
@@ -9,7 +10,6 @@
 #include "gateway/detail/steering_state.hpp"
 #include "gateway/detail/watch_delay.hpp"
 #include "skylarkdyke/base/event.hpp"
-#include "skylarkdyke/membership/directory.hpp"
 #include "skylarkdyke/membership/member_table.hpp"
 
 #include <algorithm>
@@ -29,12 +29,6 @@
 static constexpr milliseconds TickPeriod{250};
 /// The same period until the entry is ready.
 static constexpr milliseconds StartTickPeriod{50};
-/// Time for which callers may cache a directory response.
-static constexpr milliseconds DirectoryTtl{2000};
-/// Callers may cache a directory response for up to this multiple of its TTL.
-static constexpr int MaxTtlFactor = 3;
-/// Maximum number of entries in a directory response.
-static constexpr std::size_t MaxDirectoryEntries = 64;
 /// Requests per second that one processor core can handle.
 static constexpr double RequestsPerCore = 1000;
 /// Requests per second that each Mbit/s of link bandwidth can carry, counting
@@ -54,10 +48,6 @@
 /// Lateness of the maintenance task from which the process counts as having
 /// been paused: other entries may seem to be dead because it has read nothing.
 static constexpr milliseconds MinPause{700};
-/// Time for which a directory response is used again, and the number of
-/// responses that are kept.
-static constexpr milliseconds DirectoryCacheTime{250};
-static constexpr std::size_t MaxCachedDirectoryResponses = 256;
 /// An entry that starts waits for the state of another entry before it reads
 /// the store, so that the calls of many entries that start at the same time do
 /// not exceed the limits of the store. The wait is a random value between these
@@ -68,18 +58,6 @@
 /// store yet: it may not know all entries, and so not know the relays.
 static constexpr milliseconds RelayDiscoveryTime{3000};
 
-namespace {
-
-/// Key of a cached directory response: host and region of the callers.
-using directory_key = std::pair<std::string, base::region_name>;
-
-struct cached_entries {
-  std::vector<base::endpoint> Entries;
-  base::boot_time ValidUntil;
-};
-
-} // namespace
-
 struct gateway::impl {
   impl(boost::asio::io_context &Loop, net::response_memory &Memory,
        gateway_settings InitialSettings, caller_protocol Protocol,
@@ -95,9 +73,6 @@
   void onReadinessRequest(const std::shared_ptr<net::pending_request> &Request);
   void onDirectoryRequest(const std::shared_ptr<net::pending_request> &Request);
   void onMetricsRequest(const std::shared_ptr<net::pending_request> &Request);
-  net::http_response directoryResponse(const directory_query &DirectoryQuery);
-  std::vector<base::endpoint> entriesFor(const directory_query &DirectoryQuery);
-  double expectedRequestRate(const directory_query &DirectoryQuery) const;
   base::message_limits callerLimits() const;
   std::size_t maxCallerConnections() const;
   void continueStop();
@@ -117,6 +92,7 @@
   detail::steering_context Context;
   detail::demand_history History;
   membership::member_table Members;
+  detail::directory_service Directory;
   detail::mesh_link Mesh;
   net::http_server FrontServer;
   net::http_server ReadinessServer;
@@ -138,7 +114,6 @@
   base::boot_time StartWaitUntil{};
   bool IsSeed = false;
   bool Watching = false;
-  std::map<directory_key, cached_entries> DirectoryCache;
   std::uint64_t SkippedToRevision = 0;
 };
 
@@ -163,6 +138,8 @@
                                   {},      1,
                                   {}},
       Members(Settings.Mesh, Settings.Region, Settings.RegionOf),
+      Directory(Settings, Protocol, State, TargetRegistry, Placer, History,
+                Members, [this] { return ownStatus(); }),
       Mesh(
           Loop, Memory, State, Members, Settings.Mesh,
           Settings.LinkMbitPerSecond, [this] { return ownStatus(); },
@@ -356,75 +333,11 @@
     const std::shared_ptr<net::pending_request> &Request) {
   const auto DirectoryQuery =
       Protocol.ParseDirectoryQuery(std::string(Request->request().target()));
-  Request->answer(DirectoryQuery ? directoryResponse(*DirectoryQuery)
+  Request->answer(DirectoryQuery ? Directory.respond(*DirectoryQuery,
+                                                     base::boot_clock::now())
                                  : net::makeResponse(404));
 }
 
-/// Returns the expected requests per second for a host from the callers of a
-/// region. Until the rate is measured, it is taken to be what the targets of
-/// the region can serve: otherwise the directory would return a single entry
-/// to all callers of a large region.
-double gateway::impl::expectedRequestRate(
-    const directory_query &DirectoryQuery) const {
-  const auto Now = base::boot_clock::now();
-  std::map<base::service_name, milliseconds> Objectives;
-  if (State.routes())
-    for (const routing::route *Route :
-         State.routes()->routesOf(DirectoryQuery.Host))
-      for (const auto &WeightedService : Route->Services)
-        Objectives.emplace(WeightedService.Service, Route->LatencyObjective);
-  double Rate = 0;
-  for (const auto &[Service, Objective] : Objectives) {
-    const double Measured = Placer.demand(Service, DirectoryQuery.Region);
-    Rate +=
-        History.isMeasured(Service.str(), Now)
-            ? Measured
-            : std::max(Measured, detail::servableRate(TargetRegistry, Service,
-                                                      DirectoryQuery.Region,
-                                                      Objective, Now));
-  }
-  return Rate;
-}
-
-std::vector<base::endpoint>
-gateway::impl::entriesFor(const directory_query &DirectoryQuery) {
-  const membership::entry_status Own = ownStatus();
-  std::vector<const membership::entry_status *> Ready;
-  if (isReady())
-    Ready.push_back(&Own);
-  for (const auto *Member : Members.liveMembers(base::boot_clock::now()))
-    if (Member->Status.Ready && !Member->Status.Leaving)
-      Ready.push_back(&Member->Status);
-  membership::entry_query EntryQuery{DirectoryQuery.Host,
-                                     DirectoryQuery.Region,
-                                     {},
-                                     expectedRequestRate(DirectoryQuery)};
-  if (State.routes())
-    for (const routing::route *Route :
-         State.routes()->routesOf(DirectoryQuery.Host))
-      if (!Route->AllowedRegions.empty())
-        EntryQuery.AllowedRegions = Route->AllowedRegions;
-  return membership::entriesForCaller(Ready, Settings.RegionOf, EntryQuery,
-                                      MaxDirectoryEntries);
-}
-
-net::http_response
-gateway::impl::directoryResponse(const directory_query &DirectoryQuery) {
-  const auto Now = base::boot_clock::now();
-  if (DirectoryCache.size() > MaxCachedDirectoryResponses)
-    DirectoryCache.clear();
-  cached_entries &Cached =
-      DirectoryCache[{DirectoryQuery.Host, DirectoryQuery.Region}];
-  if (Cached.Entries.empty() || Now >= Cached.ValidUntil)
-    Cached = {entriesFor(DirectoryQuery), Now + DirectoryCacheTime};
-  if (Cached.Entries.empty())
-    return net::makeResponse(503, "no entry is ready\n");
-  const auto Ttl = std::min(DirectoryTtl, Settings.MaxDirectoryTtl);
-  return net::makeResponse(
-      200, Protocol.FormatDirectoryResponse(Cached.Entries, Ttl),
-      "application/json");
-}
-
 void gateway::impl::onMetricsRequest(
     const std::shared_ptr<net::pending_request> &Request) {
   if (Request->request().target() != Protocol.MetricsPath)
@@ -445,7 +358,7 @@
       {{"running", static_cast<std::int64_t>(Context.Running->size())},
        {"signal_age_ms", std::chrono::nanoseconds(Now - RequestedAt)}});
   StopRequestedAt = RequestedAt;
-  DirectoryCache.clear();
+  Directory.clearCache();
   Mesh.broadcastHeartbeat(Now);
   FrontServer.drain();
   Context.Stop = detail::scheduleStop(RequestedAt, Settings.StopGrace);
