Pass on no kept state that is older than the own one

An entry that starts while the store is away takes the state of another entry. That entry keeps an encoded complete state for 250 ms and passed it on although it had applied a newer configuration since: the entry that started became ready with the older version and served a withdrawn route, until a heartbeat told it of the newer revision.

The logs of one of these: the restarted entry's predecessor installs version 2 from the first entry at 19.368 s, the first entry installs version 5 at 19.370 s and hears of the restarted entry at 19.414 s, 46 ms after it encoded its state. Ruled out: that the first entry had not applied version 5.

The kept state is now used only while nothing has changed since.

--- a/src/gateway/detail/mesh_link.cpp
+++ b/src/gateway/detail/mesh_link.cpp
@@ -27,7 +27,8 @@
 /// Maximum size of changes that are published in a datagram. Larger ones are
 /// fetched.
 static constexpr std::size_t MaxPublishedBytes = 1300;
-/// Time for which an encoded complete state is used again.
+/// Time for which an encoded complete state is used again while nothing
+/// changes.
 static constexpr milliseconds SnapshotLifetime{250};
 /// Fraction of the link that complete states may use, and time for which an
 /// entry may be busy with those that it has promised. Beyond that it refuses:
@@ -224,9 +225,13 @@
 std::optional<std::string> mesh_link::takeSnapshot(base::boot_time Now) {
   if (SnapshotsSentBy - Now > MaxSnapshotBacklog)
     return std::nullopt;
-  if (Snapshot.empty() || Now - SnapshotAt > SnapshotLifetime) {
+  // A requester that gets an older state than this entry has would use what
+  // has been withdrawn.
+  const bool Changed = SnapshotChangeRevision != State.changeRevision();
+  if (Snapshot.empty() || Changed || Now - SnapshotAt > SnapshotLifetime) {
     Snapshot = State.encodeSnapshot();
     SnapshotAt = Now;
+    SnapshotChangeRevision = State.changeRevision();
   }
   const std::chrono::duration<double> SendTime(
       static_cast<double>(Snapshot.size()) / SnapshotBytesPerSecond);
--- a/src/gateway/detail/mesh_link.hpp
+++ b/src/gateway/detail/mesh_link.hpp
@@ -90,6 +90,7 @@
   /// time cost one encoding.
   std::string Snapshot;
   base::boot_time SnapshotAt{};
+  std::uint64_t SnapshotChangeRevision = 0;
   /// Time by which the complete states promised so far are sent.
   base::boot_time SnapshotsSentBy{};
   std::chrono::milliseconds WatchDelay{0};
--- a/tests/system-serve.cpp
+++ b/tests/system-serve.cpp
@@ -235,6 +235,26 @@
   LONGS_EQUAL(Before + 1, Platform.runsAt("s1"));
 }
 
+// Guards against an entry that passes on a kept copy of its state that is older
+// than the state: an entry that starts would serve a withdrawn configuration.
+TEST(system_serve, AnEntryPassesOnNoStateOlderThanItsOwn) {
+  startEntries(1);
+  std::string State;
+  LONGS_EQUAL(200, ask(Entries[0].Mesh, "GET", "/state?after=0", &State));
+  CHECK_TRUE(State.find("\"version\":\"r2\"") != std::string::npos);
+  Platform.put("op/config", configuration(5, "stock"));
+  std::string Answer;
+  CHECK_TRUE(test_support::waitUntil(
+      [&] {
+        askRoute(Entries[0].Front, "p" + std::to_string(++NextId), "GET",
+                 "/safe/x", Answer);
+        return Platform.runsAt("s1") > 0;
+      },
+      3s));
+  LONGS_EQUAL(200, ask(Entries[0].Mesh, "GET", "/state?after=0", &State));
+  CHECK_TRUE(State.find("\"version\":\"r5\"") != std::string::npos);
+}
+
 // Guards against an entry that waits for changes on a connection on which the
 // store will never answer, while the store serves everyone else.
 TEST(system_serve, AWatchThatIsNeverAnsweredIsNoticedSoon) {
