--- a/src/gateway/detail/exchange_log.cpp
+++ b/src/gateway/detail/exchange_log.cpp
@@ -63,6 +63,8 @@
     return;
   const placement::chosen_target *LastTarget =
       Attempts.empty() ? nullptr : &Attempts.back().Chosen;
+  const placement::target_state *LastState =
+      LastTarget ? Context.TargetRegistry.find(LastTarget->Id) : nullptr;
   SKYLARKDYKE_DECISION(
       Context.Log, RequestEnded, Now,
       {{"request", RequestId},
@@ -76,6 +78,8 @@
        {"last_reason", LastFailureReason},
        {"sends", static_cast<std::int64_t>(Attempts.size())},
        {"target", LastTarget ? std::string_view(LastTarget->Id.str()) : ""},
+       {"target_region",
+        LastState ? std::string_view(LastState->Region.str()) : ""},
        {"expected_load", LastTarget ? LastTarget->ExpectedLoad : 0.0},
        {"expected_work_ms",
         LastTarget ? LastTarget->ExpectedProcessingTime : nanoseconds(0)},
