Refuse a request for good only if a recent configuration forbids it

Callers saw 413 or 431, and never came back, for uploads that the operators allow: an entry without a configuration, or with one that sets no limits, read requests with the built-in limits of base::message_limits (1 MiB, 16 KiB), and a body was judged by the limit that held when the first byte of the header arrived. In the same way an entry that the store does not answer any more said 404 for routes that a newer version may have.

- routing::caller_limits holds only what a configuration sets.
A request beyond a built-in or an earlier limit gets 503 with Retry-After right after its header, or after the first chunk beyond it.
- The length of the body is compared once the header is read, with the limit of then.
- After an early response the connection is read on while the caller sends, for 5 s at most and until it is silent for 500 ms, so that callers which read the response after the body get it.
Before, the connection was reset after 500 ms.
- state_freshness tells how recent the state is known to be: watches and listings of the store confirm it, and heartbeats, digests and states of other entries pass on when the store did.
An entry is outdated if another entry has a newer version, or if nothing has confirmed its state for the bound of operators (terms.bounds.config_apply_s), 4 s at least.
Then an unknown route gets 503 with Retry-After 0.5 s in place of 404.

The rest remains open: between config_apply_s and 4 s a silent entry still says 404. While the whole store is down all entries answer unknown paths with 503; known routes are served as before.

Each 400, 413 and 431 is a RequestUnreadable line (508) with limit, version and ages; 404 has the ages in RequestEnded. The mesh's message version is 4.

--- a/include/skylarkdyke/gateway/gateway.hpp
+++ b/include/skylarkdyke/gateway/gateway.hpp
@@ -46,6 +46,8 @@
   std::chrono::milliseconds MaxDirectoryTtl{5000};
   /// Time from the stop signal until the platform kills the process.
   std::chrono::milliseconds StopGrace{6000};
+  /// Time within which a change of the configuration must be in force.
+  std::chrono::milliseconds ConfigurationBound{2500};
   /// Time after a store outage within which the discovery records that
   /// expired during the outage are published again.
   std::chrono::milliseconds RecordRecoveryTime{2000};
--- a/include/skylarkdyke/membership/messages.hpp
+++ b/include/skylarkdyke/membership/messages.hpp
@@ -35,6 +35,10 @@
   bool StoreReachable = true;
   /// Store revision of the latest change that the entry has applied.
   std::uint64_t ChangeRevision = 0;
+  /// Version of the configuration in force there; zero if there is none.
+  std::uint64_t ConfigurationVersion = 0;
+  /// Time since the store had no newer change; nothing if not known.
+  std::optional<std::chrono::milliseconds> StateAge;
   /// Requests per second that the entry's processor and link can handle.
   double Capacity = 1;
   /// Requests per second from the entry's callers.
@@ -47,7 +51,7 @@
 
 /// \brief Another entry as reported by a relay.
 struct relayed_entry {
-  /// Without name, incarnation, change revision, demand and known addresses.
+  /// Without name, incarnation, state, demand and known addresses.
   entry_status Status;
   /// Time for which the entry counts as live if nothing more is heard of it.
   /// Each relay passes on what is left, so that a dead entry is forgotten no
--- a/include/skylarkdyke/net/http_server.hpp
+++ b/include/skylarkdyke/net/http_server.hpp
@@ -45,12 +45,28 @@
   onResponseLost(std::function<void(const std::string &Reason)> Callback) = 0;
 };
 
+/// \brief A request that is answered without having been read completely.
+struct unreadable_request {
+  /// 400, 413, 431 or 503.
+  unsigned Status = 400;
+  /// For the log.
+  std::string Reason;
+  /// With status 413 or 431, the limit that applied, in bytes.
+  std::size_t Limit = 0;
+  /// The header as far as it was read.
+  const http_request &Header;
+};
+
 /// \brief Asynchronous HTTP/1.1 server on one address.
 ///
 /// Not thread-safe: all calls must come from the thread of the event loop.
 class http_server {
 public:
   using handler = std::function<void(std::shared_ptr<pending_request>)>;
+  /// Returns the response to an unreadable request; its connection is closed
+  /// after it.
+  using unreadable_handler =
+      std::function<http_response(const unreadable_request &)>;
 
   /// \param MaxConnections connections beyond this number are closed at once
   /// \param Limits called for each request, so that changed limits apply to
@@ -59,6 +75,10 @@
               std::function<base::message_limits()> Limits, handler OnRequest);
   ~http_server();
 
+  /// \brief Replaces the responses to unreadable requests, which have the
+  /// status of the request otherwise.
+  void setUnreadableHandler(unreadable_handler OnUnreadable);
+
   /// \brief Binds an IPv4 address and starts to accept connections.
   /// \return false if the address cannot be bound
   bool listen(const base::endpoint &Address);
--- a/include/skylarkdyke/routing/route.hpp
+++ b/include/skylarkdyke/routing/route.hpp
@@ -1,7 +1,6 @@
 #ifndef SKYLARKDYKE_ROUTING_ROUTE_HPP
 #define SKYLARKDYKE_ROUTING_ROUTE_HPP
 
-#include "skylarkdyke/base/message_limits.hpp"
 #include "skylarkdyke/base/names.hpp"
 
 #include <chrono>
@@ -65,13 +64,23 @@
   double ColdRequestsPerSecond = 0;
 };
 
+/// \brief The operators' limits on the messages of callers; nothing for those
+/// that a configuration does not set.
+struct caller_limits {
+  std::optional<std::size_t> MaxHeaderBytes;
+  std::optional<std::size_t> MaxBodyBytes;
+  /// Time limit to receive the header of a request, from its first byte.
+  std::optional<std::chrono::milliseconds> HeaderTimeout;
+  /// How long a connection may stay open without a request.
+  std::optional<std::chrono::milliseconds> IdleTimeout;
+};
+
 /// \brief One version of the operators' configuration.
 struct configuration {
   std::uint64_t Version = 0;
   std::vector<route> Routes;
   std::vector<service> Services;
-  /// Limits on the size of callers' messages.
-  base::message_limits Limits;
+  caller_limits Limits;
 };
 
 } // namespace skylarkdyke::routing
--- a/include/skylarkdyke/routing/route_table.hpp
+++ b/include/skylarkdyke/routing/route_table.hpp
@@ -31,7 +31,7 @@
   const service *findService(const base::service_name &Name) const;
 
   std::uint64_t version() const { return Configuration.Version; }
-  const base::message_limits &limits() const { return Configuration.Limits; }
+  const caller_limits &limits() const { return Configuration.Limits; }
   const std::vector<route> &routes() const { return Configuration.Routes; }
   const std::vector<service> &services() const {
     return Configuration.Services;
--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -1,7 +1,8 @@
 #include "gateway/detail/exchange.hpp"
 
+#include "gateway/detail/request_rejection.hpp"
+
 #include <algorithm>
-#include <array>
 #include <cstdio>
 #include <cstdlib>
 
@@ -74,6 +75,11 @@
   }
   Query.Route = Routes->match(std::string(Request[bhttp::field::host]),
                               std::string(Request.target()));
+  if (Query.Route == nullptr &&
+      Context.State.mayBeOutdated(base::boot_clock::now())) {
+    respondWithError(503, "state_outdated", OutdatedRetryAfter);
+    return false;
+  }
   if (Query.Route == nullptr) {
     respondWithError(404, "no_route", std::nullopt);
     return false;
@@ -375,12 +381,8 @@
 void exchange::respondWithError(unsigned Status, const std::string &Reason,
                                 std::optional<nanoseconds> RetryAfter) {
   net::http_response Response = net::makeResponse(Status, Reason + "\n");
-  if (RetryAfter) {
-    std::array<char, 32> Seconds{};
-    std::snprintf(Seconds.data(), Seconds.size(), "%.3f",
-                  std::chrono::duration<double>(*RetryAfter).count());
-    Response.set(bhttp::field::retry_after, Seconds.data());
-  }
+  if (RetryAfter)
+    setRetryAfter(Response, *RetryAfter);
   const std::string RequestId = requestHeader(Context.Headers.RequestId);
   if (!RequestId.empty())
     Response.set(Context.Headers.RequestId, RequestId);
--- a/src/gateway/detail/exchange_log.cpp
+++ b/src/gateway/detail/exchange_log.cpp
@@ -71,6 +71,9 @@
         static_cast<std::int64_t>(Routes ? Routes->version() : 0)},
        {"state_revision",
         static_cast<std::int64_t>(Context.State.confirmedRevision())},
+       {"config_age_ms", Context.State.configurationAge(Now)},
+       {"state_age_ms", nanoseconds(Context.State.age(Now).value_or(
+                            std::chrono::milliseconds(-1)))},
        {"status", static_cast<std::int64_t>(Status)},
        {"outcome", Outcome},
        {"last_reason", LastFailureReason},
--- a/src/gateway/detail/mesh_link.cpp
+++ b/src/gateway/detail/mesh_link.cpp
@@ -113,6 +113,8 @@
 
 void mesh_link::onHeartbeat(const membership::entry_status &Status) {
   const auto Now = base::boot_clock::now();
+  State.noteOtherState(
+      {Status.ChangeRevision, Status.ConfigurationVersion, Status.StateAge});
   const bool IsNew = Members.recordHeartbeat(Status, Now);
   if (Members.takeDueIntroduction(Status, IsNew, Now))
     introduceTo(Status, Now);
@@ -127,6 +129,9 @@
 
 void mesh_link::onDigest(const membership::digest &Digest) {
   const auto Now = base::boot_clock::now();
+  const membership::entry_status &Sender = Digest.Sender;
+  State.noteOtherState(
+      {Sender.ChangeRevision, Sender.ConfigurationVersion, Sender.StateAge});
   const bool Changed = Members.recordDigest(Digest, Now);
   if (!State.isComplete())
     fetchIfBehind(Now);
--- a/src/gateway/detail/state_codec.cpp
+++ b/src/gateway/detail/state_codec.cpp
@@ -63,6 +63,16 @@
   return Target;
 }
 
+static json ageToJson(std::optional<milliseconds> Age) {
+  return Age ? json(Age->count()) : json();
+}
+
+static std::optional<milliseconds> ageFromJson(const json &Count) {
+  if (Count.is_null())
+    return std::nullopt;
+  return std::max(milliseconds(Count.get<std::int64_t>()), milliseconds(0));
+}
+
 static std::string toCbor(const json &Message) {
   std::string Bytes;
   json::to_cbor(Message, Bytes);
@@ -81,8 +91,8 @@
   for (const base::domain_name &Domain : Snapshot.EvacuatedDomains)
     Evacuated.push_back(Domain.str());
   return toCbor({SnapshotKind, Snapshot.ConfirmedRevision,
-                 Snapshot.ChangeRevision, Snapshot.Document, Targets,
-                 Evacuated});
+                 Snapshot.ChangeRevision, Snapshot.Document, Targets, Evacuated,
+                 ageToJson(Snapshot.Age)});
 }
 
 static json changeToJson(const encoded_change &Encoded) {
@@ -120,7 +130,8 @@
   json Rows = json::array();
   for (const encoded_change &Change : Changes.Changes)
     Rows.push_back(changeToJson(Change));
-  return toCbor({ChangesKind, Changes.After, Changes.ConfirmedRevision, Rows});
+  return toCbor({ChangesKind, Changes.After, Changes.ConfirmedRevision, Rows,
+                 ageToJson(Changes.Age)});
 }
 
 static std::optional<encoded_change> changeFromJson(const json &Fields) {
@@ -171,6 +182,7 @@
   }
   for (const json &Domain : Message.at(5))
     Snapshot.EvacuatedDomains.emplace_back(Domain.get<std::string>());
+  Snapshot.Age = ageFromJson(Message.at(6));
   return Snapshot;
 }
 
@@ -181,6 +193,7 @@
   for (const json &Fields : Message.at(3))
     if (auto Change = changeFromJson(Fields))
       Changes.Changes.push_back(std::move(*Change));
+  Changes.Age = ageFromJson(Message.at(4));
   return Changes;
 }
 
--- a/src/gateway/detail/state_codec.hpp
+++ b/src/gateway/detail/state_codec.hpp
@@ -31,6 +31,8 @@
   std::string Document;
   std::vector<encoded_target> Targets;
   std::vector<base::domain_name> EvacuatedDomains;
+  /// Time since the store had nothing newer; nothing if not known.
+  std::optional<std::chrono::milliseconds> Age;
 };
 
 /// \brief A change in a message between entries.
@@ -45,6 +47,8 @@
   std::uint64_t After = 0;
   std::uint64_t ConfirmedRevision = 0;
   std::vector<encoded_change> Changes;
+  /// Time since the store had nothing newer; nothing if not known.
+  std::optional<std::chrono::milliseconds> Age;
 };
 
 using state_message = std::variant<state_snapshot, state_changes>;
--- a/src/gateway/detail/steering_state.cpp
+++ b/src/gateway/detail/steering_state.cpp
@@ -35,6 +35,8 @@
     return;
   }
   Document = Text;
+  InstalledAt = Clock();
+  Freshness.noteVersion(Version);
   Routes =
       std::make_shared<const routing::route_table>(std::move(Decoded.value()));
   SKYLARKDYKE_LOG(INFO, ConfigInstalled) << "version=" << Version;
@@ -84,8 +86,10 @@
                                 std::uint64_t NewestRevision,
                                 std::uint64_t AsOf) {
   noteStoreAvailable();
-  if (AsOf >= ConfirmedRevision)
-    replaceItems(Items, NewestRevision, AsOf);
+  if (AsOf < ConfirmedRevision)
+    return;
+  replaceItems(Items, NewestRevision, AsOf);
+  Freshness.confirm(Clock());
 }
 
 void steering_state::replaceItems(
@@ -136,10 +140,23 @@
 void steering_state::confirmRevision(std::uint64_t AsOf) {
   noteStoreAvailable();
   ConfirmedRevision = std::max(ConfirmedRevision, AsOf);
+  Freshness.confirm(Clock());
   if (OnConfirmed)
     OnConfirmed();
 }
 
+void steering_state::noteOtherState(const other_state &Other) {
+  Freshness.noteVersion(Other.ConfigurationVersion);
+  if (Other.ChangeRevision <= ConfirmedRevision)
+    confirmAt(Other.Age);
+}
+
+/// Records what another entry has confirmed some time ago.
+void steering_state::confirmAt(std::optional<milliseconds> Age) {
+  if (Age)
+    Freshness.confirm(Clock() - *Age);
+}
+
 void steering_state::noteStoreAvailable() {
   if (!StoreDown)
     return;
@@ -161,6 +178,7 @@
   state_snapshot Snapshot;
   Snapshot.ConfirmedRevision = ConfirmedRevision;
   Snapshot.ChangeRevision = ChangeRevision;
+  Snapshot.Age = Freshness.age(Now);
   Snapshot.Document = Document;
   TargetRegistry.forEach([&](const placement::target_state &State) {
     Snapshot.Targets.push_back(toEncoded(State, Now));
@@ -177,6 +195,7 @@
   state_changes Changes;
   Changes.After = Revision;
   Changes.ConfirmedRevision = ConfirmedRevision;
+  Changes.Age = Freshness.age(Now);
   for (recorded_change &Recorded : Log.changesAfter(Revision)) {
     encoded_change Encoded{std::move(Recorded), milliseconds(0)};
     if (const auto *Removed =
@@ -199,6 +218,7 @@
   for (const base::domain_name &Domain : Snapshot.EvacuatedDomains)
     Items.emplace_back(routing::evacuation_started{Domain});
   replaceItems(Items, Snapshot.ChangeRevision, Snapshot.ConfirmedRevision);
+  confirmAt(Snapshot.Age);
   for (const encoded_target &Encoded : Snapshot.Targets)
     if (Encoded.RemovedIn)
       TargetRegistry.remove(Encoded.Target.Id, Now + *Encoded.RemovedIn);
@@ -218,6 +238,7 @@
     record(Recorded.Change, Recorded.Revision);
   }
   ConfirmedRevision = Changes.ConfirmedRevision;
+  confirmAt(Changes.Age);
 }
 
 bool steering_state::adoptState(const std::string &Bytes) {
--- a/src/gateway/detail/steering_state.hpp
+++ b/src/gateway/detail/steering_state.hpp
@@ -3,6 +3,7 @@
 
 #include "gateway/detail/change_log.hpp"
 #include "gateway/detail/state_codec.hpp"
+#include "gateway/detail/state_freshness.hpp"
 #include "skylarkdyke/gateway/change_source.hpp"
 #include "skylarkdyke/gateway/gateway.hpp"
 #include "skylarkdyke/placement/target_registry.hpp"
@@ -11,10 +12,20 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace skylarkdyke::gateway::detail {
 
+/// \brief What another entry says of its state in a heartbeat.
+struct other_state {
+  /// Store revision of the newest change in it.
+  std::uint64_t ChangeRevision = 0;
+  std::uint64_t ConfigurationVersion = 0;
+  /// Time since the store had nothing newer; nothing if not known.
+  std::optional<std::chrono::milliseconds> Age;
+};
+
 /// \brief Configuration, targets and evacuated failure domains, as received
 /// from the store or from another entry. The configuration version never
 /// decreases.
@@ -61,6 +72,29 @@
   /// \brief Returns whether the latest call to the store failed.
   bool isStoreDown() const { return StoreDown; }
 
+  /// \param Age time within which a change must be in force
+  void setMaxAge(std::chrono::milliseconds Age) { Freshness.setMaxAge(Age); }
+  /// \brief Records what another entry says of its own state.
+  void noteOtherState(const other_state &Other);
+  /// \brief Returns whether a newer configuration may be in force elsewhere.
+  bool mayBeOutdated(base::boot_time Now) const {
+    return Freshness.isOutdated(version(), Now);
+  }
+  /// \return configuration version in force; zero before the first
+  std::uint64_t version() const { return Routes ? Routes->version() : 0; }
+  /// \return newest configuration version that is known to exist
+  std::uint64_t newestVersion() const { return Freshness.newestVersion(); }
+  /// \return time since the version in force was installed; zero before the
+  /// first
+  std::chrono::nanoseconds configurationAge(base::boot_time Now) const {
+    return Routes ? Now - InstalledAt : std::chrono::nanoseconds(0);
+  }
+  /// \return time since the state was last known to be the newest; nothing if
+  /// it never was
+  std::optional<std::chrono::milliseconds> age(base::boot_time Now) const {
+    return Freshness.age(Now);
+  }
+
   /// \brief Encodes the complete state as CBOR for another entry.
   std::string encodeSnapshot() const;
 
@@ -83,6 +117,7 @@
                     std::uint64_t NewestRevision, std::uint64_t AsOf);
   void adopt(const state_snapshot &Snapshot);
   void adopt(const state_changes &Changes);
+  void confirmAt(std::optional<std::chrono::milliseconds> Age);
   void applyChange(const routing::store_change &Change);
 
   placement::target_registry &TargetRegistry;
@@ -92,6 +127,8 @@
   entry_callback OnEntryRegistered;
   std::function<void()> OnConfirmed;
   std::shared_ptr<const routing::route_table> Routes;
+  base::boot_time InstalledAt{};
+  state_freshness Freshness;
   std::string Document;
   change_log Log;
   bool HasTargets = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -7,6 +7,7 @@
 #include "gateway/detail/gauges.hpp"
 #include "gateway/detail/loop_lateness.hpp"
 #include "gateway/detail/mesh_link.hpp"
+#include "gateway/detail/request_rejection.hpp"
 #include "gateway/detail/steering_state.hpp"
 #include "gateway/detail/watch_delay.hpp"
 #include "skylarkdyke/base/event.hpp"
@@ -73,7 +74,6 @@
   void onReadinessRequest(const std::shared_ptr<net::pending_request> &Request);
   void onDirectoryRequest(const std::shared_ptr<net::pending_request> &Request);
   void onMetricsRequest(const std::shared_ptr<net::pending_request> &Request);
-  base::message_limits callerLimits() const;
   std::size_t maxCallerConnections() const;
   void continueStop();
 
@@ -145,7 +145,8 @@
           Settings.LinkMbitPerSecond, [this] { return ownStatus(); },
           [this] { updateShares(base::boot_clock::now()); }),
       FrontServer(
-          Loop, maxCallerConnections(), [this] { return callerLimits(); },
+          Loop, maxCallerConnections(),
+          [this] { return detail::limitsInForce(State); },
           [this](std::shared_ptr<net::pending_request> Request) {
             detail::exchange::start(Context, std::move(Request));
           }),
@@ -172,12 +173,14 @@
              : Settings.MaxDescriptors / 2;
 }
 
-base::message_limits gateway::impl::callerLimits() const {
-  return State.routes() ? State.routes()->limits() : base::message_limits();
-}
-
 bool gateway::impl::start() {
   const auto Now = base::boot_clock::now();
+  State.setMaxAge(Settings.ConfigurationBound);
+  FrontServer.setUnreadableHandler(
+      [this](const net::unreadable_request &Request) {
+        return detail::respondToUnreadable(Request, State, Protocol.Headers,
+                                           Log, base::boot_clock::now());
+      });
   State.setEntryCallback([this](const base::endpoint &Mesh) {
     Members.addAddress(Mesh, base::boot_clock::now());
   });
@@ -217,6 +220,8 @@
   Status.Leaving = Stopping;
   Status.StoreReachable = !Watching || !State.isStoreDown();
   Status.ChangeRevision = State.changeRevision();
+  Status.ConfigurationVersion = State.version();
+  Status.StateAge = State.age(Now);
   Status.Capacity = Lateness.usableFraction() *
                     std::min(RequestsPerCore * Settings.ProcessorCores,
                              RequestsPerMbit * Settings.LinkMbitPerSecond);
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -66,6 +66,7 @@
     Member.Status.Name = std::move(Previous.Name);
     Member.Status.Incarnation = Previous.Incarnation;
     Member.Status.ChangeRevision = Previous.ChangeRevision;
+    Member.Status.ConfigurationVersion = Previous.ConfigurationVersion;
     Member.Status.Demand = std::move(Previous.Demand);
   }
   Member.Region = regionOf(Status.Domain);
--- a/src/membership/messages.cpp
+++ b/src/membership/messages.cpp
@@ -9,7 +9,7 @@
 using std::chrono::milliseconds;
 
 /// First element of each message; messages of other versions are ignored.
-static constexpr int MessageVersion = 3;
+static constexpr int MessageVersion = 4;
 /// Second element of each message.
 static constexpr int HeartbeatKind = 0;
 static constexpr int DigestKind = 1;
@@ -63,7 +63,9 @@
           Status.Demand,
           Known,
           Status.Capacity,
-          Status.NextHeartbeatIn.count()};
+          Status.NextHeartbeatIn.count(),
+          Status.ConfigurationVersion,
+          Status.StateAge ? json(Status.StateAge->count()) : json()};
 }
 
 static entry_status statusFromJson(const json &Fields) {
@@ -81,6 +83,10 @@
       Status.KnownAddresses.push_back(*Known);
   Status.Capacity = Fields.at(9);
   Status.NextHeartbeatIn = toPeriod(Fields.at(10));
+  Status.ConfigurationVersion = Fields.at(11);
+  if (!Fields.at(12).is_null())
+    Status.StateAge = std::max(milliseconds(Fields.at(12).get<std::int64_t>()),
+                               milliseconds(0));
   return Status;
 }
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,19 +1,21 @@
 #include "skylarkdyke/net/http_server.hpp"
 
+#include "net/detail/request_errors.hpp"
 #include "skylarkdyke/net/one_shot_timer.hpp"
 
-#include <array>
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <glog/logging.h>
+#include <limits>
 #include <optional>
 #include <sys/socket.h>
 #include <unordered_set>
 #include <utility>
+#include <vector>
 
 namespace skylarkdyke::net {
 
@@ -32,9 +34,18 @@
 /// Time for which a connection stays open after its last response, so that the
 /// caller can read it and close first.
 static constexpr std::chrono::milliseconds LingerTimeout{500};
+/// The same time for a caller that goes on sending the body of a request that
+/// was answered early: many callers read the response only after the body.
+static constexpr std::chrono::milliseconds MaxLingerTime{5000};
+/// Buffer size for bytes that are read after the last response.
+static constexpr std::size_t DiscardBytes = 16384;
 /// Time limit for receiving a request body and for sending a response.
 static constexpr std::chrono::seconds TransferTimeout{30};
 
+static http_response respondToUnreadable(const unreadable_request &Request) {
+  return makeResponse(Request.Status, "the request cannot be read\n");
+}
+
 http_response makeResponse(unsigned Status, std::string Body,
                            const char *ContentType) {
   http_response Response(static_cast<bhttp::status>(Status), 11);
@@ -64,6 +75,7 @@
   std::size_t MaxConnections;
   std::function<base::message_limits()> Limits;
   handler OnRequest;
+  unreadable_handler OnUnreadable = respondToUnreadable;
   std::unordered_set<session *> Sessions;
   std::size_t ActiveRequests = 0;
   bool Draining = false;
@@ -149,6 +161,7 @@
   void watchForDisconnect();
   void onReadable();
   void rejectUnreadable(const error_code &Failure);
+  void reject(unsigned Status, const std::string &Reason);
   void write(bool Close);
   void finishWrite(const error_code &Failure, bool Close);
   void closeAfterResponse();
@@ -178,8 +191,11 @@
   one_shot_timer Timer;
   beast::flat_buffer Buffer;
   /// Holds bytes that are read after the last response.
-  std::array<char, 512> Discarded{};
+  std::vector<char> Discarded;
+  base::boot_time LingerUntil{};
   std::optional<parser> Parser;
+  /// Limits under which the current request is read.
+  base::message_limits ReadLimits;
   http_request Request;
   http_response Response;
   base::boot_time ArrivedAt{};
@@ -235,11 +251,14 @@
   // not close the connection before the response is sent.
   setActive(true);
   Request = {};
-  const base::message_limits Limits = Server->Limits();
+  ReadLimits = Server->Limits();
   Parser.emplace();
-  Parser->header_limit(static_cast<std::uint32_t>(Limits.MaxHeaderBytes));
-  Parser->body_limit(Limits.MaxBodyBytes);
-  closeAt(base::boot_clock::now() + Limits.HeaderTimeout);
+  Parser->header_limit(static_cast<std::uint32_t>(std::min<std::size_t>(
+      ReadLimits.MaxHeaderBytes, std::numeric_limits<std::uint32_t>::max())));
+  // The length of the body is checked once the header is read, with the limit
+  // of then.
+  Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+  closeAt(base::boot_clock::now() + ReadLimits.HeaderTimeout);
   bhttp::async_read_header(
       Socket, Buffer, *Parser,
       [Self = shared_from_this()](const error_code &Result, std::size_t) {
@@ -252,6 +271,10 @@
     return rejectUnreadable(Failure);
   if (Parser->is_done())
     return onBody({});
+  ReadLimits.MaxBodyBytes = Server->Limits().MaxBodyBytes;
+  Parser->body_limit(ReadLimits.MaxBodyBytes);
+  if (Parser->content_length().value_or(0) > ReadLimits.MaxBodyBytes)
+    return rejectUnreadable(make_error_code(bhttp::error::body_limit));
   if (!beast::iequals(Parser->get()[bhttp::field::expect], "100-continue"))
     return readBody();
   static const std::string Continue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -316,21 +339,19 @@
 /// Responds with an error status to a request that exceeds a limit or cannot
 /// be parsed; closes the connection on any other read error.
 void session::rejectUnreadable(const error_code &Failure) {
-  unsigned Status = 0;
-  if (Failure == bhttp::error::header_limit)
-    Status = 431;
-  else if (Failure == bhttp::error::body_limit)
-    Status = 413;
-  else if (Failure.category() ==
-               bhttp::make_error_code(bhttp::error::bad_version).category() &&
-           Failure != bhttp::error::end_of_stream &&
-           Failure != bhttp::error::partial_message)
-    Status = 400;
-  if (Status == 0)
+  const auto Status = detail::statusOf(Failure);
+  if (!Status)
     return closeSocket();
+  reject(*Status, Failure.message());
+}
+
+void session::reject(unsigned Status, const std::string &Reason) {
   PeerKeepsAlive = false;
   Answerable = true;
-  answer(makeResponse(Status, "the request cannot be read\n"));
+  const std::size_t Limit = Status == 431
+                                ? ReadLimits.MaxHeaderBytes
+                                : (Status == 413 ? ReadLimits.MaxBodyBytes : 0);
+  answer(Server->OnUnreadable({Status, Reason, Limit, Parser->get()}));
 }
 
 void session::answer(http_response NewResponse) {
@@ -374,17 +395,19 @@
   awaitRequest();
 }
 
-/// Closes the connection once the caller has closed it, or after a while. If
+/// Closes the connection once the caller has closed it or is silent. If
 /// unread bytes of the caller were there at the close, the connection would be
 /// reset, and the caller could lose the response.
 void session::closeAfterResponse() {
   error_code Ignored;
   Socket.shutdown(tcp::socket::shutdown_send, Ignored);
-  closeAt(base::boot_clock::now() + LingerTimeout);
+  LingerUntil = base::boot_clock::now() + MaxLingerTime;
+  Discarded.resize(DiscardBytes);
   discardBytes();
 }
 
 void session::discardBytes() {
+  closeAt(std::min(base::boot_clock::now() + LingerTimeout, LingerUntil));
   Socket.async_read_some(
       asio::buffer(Discarded),
       [Self = shared_from_this()](const error_code &Failure, std::size_t) {
@@ -458,6 +481,10 @@
   return true;
 }
 
+void http_server::setUnreadableHandler(unreadable_handler OnUnreadable) {
+  Impl->OnUnreadable = std::move(OnUnreadable);
+}
+
 void http_server::drain() { Impl->Draining = true; }
 
 void http_server::stopAccepting() {
--- a/tests/system-serve.cpp
+++ b/tests/system-serve.cpp
@@ -89,6 +89,15 @@
   }
 
   void startEntries(int Count) {
+    launchEntries(Count);
+    for (const served_entry &Entry : Entries)
+      CHECK_TRUE(test_support::waitUntil(
+          [&] { return ask(Entry.Readiness, "GET", "/api/readyz") == 200; },
+          5s));
+  }
+
+  /// Starts entries without waiting until they are ready.
+  void launchEntries(int Count) {
     Entries.resize(static_cast<std::size_t>(Count));
     for (served_entry &Entry : Entries) {
       for (auto *Address :
@@ -104,10 +113,6 @@
           std::vector<std::string>{"serve", Entry.SettingsFile},
           (Folder / (Name + ".log")).string());
     }
-    for (const served_entry &Entry : Entries)
-      CHECK_TRUE(test_support::waitUntil(
-          [&] { return ask(Entry.Readiness, "GET", "/api/readyz") == 200; },
-          5s));
   }
 
   int ask(const base::endpoint &Address, const char *Method,
@@ -150,6 +155,68 @@
   return std::stoi(Answer.substr(9, 3));
 }
 
+/// Starts an upload of 64 MiB and returns the response.
+static std::string startLargeUpload(const base::endpoint &Address) {
+  const test_support::raw_client Client(Address);
+  Client.send("POST /once/x HTTP/1.1\r\nHost: h.example\r\n"
+              "Content-Length: 67108864\r\nSkylarkdyke-Request-Id: up\r\n\r\n" +
+              std::string(2000000, 'x'));
+  std::string Response;
+  test_support::waitUntil(
+      [&] {
+        Response += Client.receive();
+        return Client.isClosed();
+      },
+      2s);
+  return Response;
+}
+
+// Guards against a proper upload that is refused for good by an entry that
+// does not know the operators' limits.
+TEST(system_serve, AnEntryWithoutLimitsNeverSaysThatABodyIsTooLarge) {
+  Platform.turnAllAway();
+  launchEntries(1);
+  std::string Response;
+  CHECK_TRUE(test_support::waitUntil(
+      [&] {
+        Response = startLargeUpload(Entries[0].Front);
+        return !Response.empty();
+      },
+      5s));
+  STRCMP_CONTAINS("HTTP/1.1 503", Response.c_str());
+  STRCMP_CONTAINS("Retry-After: ", Response.c_str());
+}
+
+// Guards against limits of the operators that are not enforced any more.
+TEST(system_serve, ABodyBeyondTheLimitOfTheOperatorsIsTooLarge) {
+  startEntries(1);
+  STRCMP_CONTAINS("HTTP/1.1 503", startLargeUpload(Entries[0].Front).c_str());
+  auto Document = nlohmann::json::parse(configuration(5, "orders"));
+  Document["limits"] = {{"max_body_bytes", 1000}};
+  Platform.put("op/config", Document.dump());
+  CHECK_TRUE(test_support::waitUntil(
+      [&] {
+        return startLargeUpload(Entries[0].Front).find("HTTP/1.1 413") == 0;
+      },
+      3s));
+}
+
+// Guards against 404 for a route that a newer configuration has: the entry
+// cannot know, because the store does not answer it any more.
+TEST(system_serve, AnEntryThatMayBeBehindDoesNotSayThatARouteIsMissing) {
+  startEntries(1);
+  std::string Answer;
+  LONGS_EQUAL(404, askRoute(Entries[0].Front, "n1", "GET", "/new/", Answer));
+  Platform.turnAllAway();
+  CHECK_TRUE(test_support::waitUntil(
+      [&] {
+        return askRoute(Entries[0].Front, "n2", "GET", "/new/", Answer) == 503;
+      },
+      6s));
+  STRCMP_CONTAINS("Retry-After: ", Answer.c_str());
+  LONGS_EQUAL(200, askRoute(Entries[0].Front, "n3", "GET", "/safe/", Answer));
+}
+
 // Guards against a path that is broken anywhere between caller and target.
 TEST(system_serve, ServesRequestsThroughTheDirectory) {
   startEntries(2);
--- a/tests/unit-membership-table.cpp
+++ b/tests/unit-membership-table.cpp
@@ -64,6 +64,8 @@
 TEST(membership_table, StatusRoundTrips) {
   auto Status = makeStatus("n", "10.0.0.2");
   Status.ChangeRevision = 12345678901;
+  Status.ConfigurationVersion = 71;
+  Status.StateAge = 1500ms;
   Status.KnownAddresses = {Peer};
   Status.StoreReachable = false;
   const auto Message = membership::decodeMessage(membership::encode(Status));
@@ -74,6 +76,7 @@
   CHECK(Decoded->FrontAddress == Status.FrontAddress &&
         Decoded->KnownAddresses == Status.KnownAddresses);
   CHECK(Decoded->ChangeRevision == Status.ChangeRevision);
+  CHECK(Decoded->ConfigurationVersion == 71 && Decoded->StateAge == 1500ms);
   DOUBLES_EQUAL(2.5, Decoded->Demand.at("orders"), 1e-9);
 }
 
--- a/tests/unit-net-server.cpp
+++ b/tests/unit-net-server.cpp
@@ -209,6 +209,35 @@
   CHECK(Header.receive().find("HTTP/1.1 431") == 0);
 }
 
+// Guards against 413 for a request whose first byte arrived before a
+// configuration that allows it.
+TEST(net_server, TheLimitOfTheEndOfTheHeaderApplies) {
+  Limits.MaxBodyBytes = 10;
+  const test_support::raw_client Client(Address);
+  Client.send("POST /a HTTP/1.1\r\nHost: h\r\n");
+  runFor(10ms);
+  Limits.MaxBodyBytes = 100;
+  Client.send("Content-Length: 20\r\n\r\n" + std::string(20, 'x'));
+  runFor(20ms);
+  LONGS_EQUAL(1, Received.size());
+}
+
+// Guards against a connection that is reset under a caller which reads the
+// response only after it has sent the whole body.
+TEST(net_server, AnEarlyResponseWaitsForTheEndOfTheBody) {
+  Limits.MaxBodyBytes = 10;
+  const test_support::raw_client Client(Address);
+  Client.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 20000\r\n\r\n");
+  for (int Step = 0; Step < 16; ++Step) {
+    Client.send(std::string(1000, 'x'));
+    runFor(50ms);
+  }
+  LONGS_EQUAL(1, Server->activeRequests());
+  CHECK(Client.receive().find("HTTP/1.1 413") == 0);
+  runFor(700ms);
+  LONGS_EQUAL(0, Server->activeRequests());
+}
+
 // Guards against responses that are sent in another order than the requests
 // of a pipelined connection.
 TEST(net_server, HandlesPipelinedRequestsOneAtATime) {
--- a/tests/unit-platform-wire.cpp
+++ b/tests/unit-platform-wire.cpp
@@ -50,7 +50,7 @@
   CHECK(DecodedConfiguration.Services.at(0).ColdTime == 3000ms);
   DOUBLES_EQUAL(3.1, DecodedConfiguration.Services.at(0).ColdRequestsPerSecond,
                 1e-9);
-  LONGS_EQUAL(1000, DecodedConfiguration.Limits.MaxHeaderBytes);
+  LONGS_EQUAL(1000, DecodedConfiguration.Limits.MaxHeaderBytes.value());
 }
 
 /// Decodes a configuration with one route of the given kind.
