Send a request without an id on a connection of its own

What callers saw: after a target had written an earlier refusal once more on a kept connection, a request without an id was told 503, not run, although the target was running it. A request that is not idempotent could so be repeated.

Cause: for a request without an id, belongsToRequest() accepted any response without one, also on a connection that had been used before. It also counted each response on a new connection as the first one, behind skipped ones too.

Evidence: system_serve_faults.ACopyOfARefusalRefusesNoOtherRequest failed before, in the case '503 together no-id caller-no-id': expected <200> but was <503>, with one request received. The cases of 503, 429, 421 and 400 with an id of the caller, with the copy before, together with and after the next request, with and without an id, passed before.

Why it works: a new connection has no earlier request, so its first response belongs to the request; any later one without an id is skipped.

--- a/src/gateway/detail/channel_pool.cpp
+++ b/src/gateway/detail/channel_pool.cpp
@@ -26,6 +26,11 @@
       return Channel;
     Channel->close();
   }
+  return open(Address);
+}
+
+std::shared_ptr<net::http_channel>
+channel_pool::open(const base::endpoint &Address) const {
   return net::http_channel::create(Loop, Address, Memory);
 }
 
--- a/src/gateway/detail/channel_pool.hpp
+++ b/src/gateway/detail/channel_pool.hpp
@@ -38,6 +38,9 @@
                                              const base::endpoint &Address,
                                              base::boot_time Now);
 
+  /// \brief Returns a new connection.
+  std::shared_ptr<net::http_channel> open(const base::endpoint &Address) const;
+
   /// \brief Returns a connection to the pool, or closes it if it is not
   /// reusable or the pool is full.
   /// \param MaxIdle maximum number of idle connections to the target
--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdio>
 #include <cstdlib>
+#include <utility>
 
 namespace skylarkdyke::gateway::detail {
 
@@ -161,17 +162,22 @@
   const auto Now = base::boot_clock::now();
   Query.TriedTargets.push_back(Chosen.Id);
   Context.TargetRegistry.beginSend(Chosen.Id, Now);
-  const auto Channel = Context.Pool.acquire(Chosen.Id, Chosen.Address, Now);
+  const std::string RequestId = requestHeader(Context.Headers.RequestId);
+  // On a used connection, a late copy of an earlier response cannot be told
+  // from the response to a request without an id.
+  const auto Channel =
+      RequestId.empty() ? Context.Pool.open(Chosen.Address)
+                        : Context.Pool.acquire(Chosen.Id, Chosen.Address, Now);
   Attempts.push_back({Chosen, Channel, Now});
   const auto TimeLeft =
       std::chrono::duration_cast<milliseconds>(Query.Deadline - Now);
   Channel->call(
       toTargetRequest(Caller->request(), Context.Headers, Chosen.Id, TimeLeft),
       {Now + ConnectTimeout, Query.Deadline},
-      [Headers = Context.Headers,
-       RequestId = requestHeader(Context.Headers.RequestId),
-       IsFirst = !Channel->isOpen()](const net::http_response &Response) {
-        return belongsToRequest(Response, Headers, RequestId, IsFirst);
+      [Headers = Context.Headers, RequestId, IsFirst = !Channel->isOpen()](
+          const net::http_response &Response) mutable {
+        return belongsToRequest(Response, Headers, RequestId,
+                                std::exchange(IsFirst, false));
       },
       [Self = shared_from_this(),
        Index = Attempts.size() - 1](net::call_result Result) {
--- a/src/gateway/detail/send_outcome.cpp
+++ b/src/gateway/detail/send_outcome.cpp
@@ -35,8 +35,7 @@
                       const header_names &Headers, const std::string &RequestId,
                       bool IsFirstOnConnection) {
   const auto Id = Response[Headers.RequestId];
-  return Id.empty() ? IsFirstOnConnection || RequestId.empty()
-                    : Id == RequestId;
+  return Id.empty() ? IsFirstOnConnection : Id == RequestId;
 }
 
 bool isTargetError(const net::http_response &Response) {
--- /dev/null
+++ b/tests/system-serve-faults.cpp
@@ -0,0 +1,168 @@
+#include "support/platform_stand_in.hpp"
+#include "support/scripted_target.hpp"
+#include "support/served_entry.hpp"
+#include "support/wait_until.hpp"
+
+#include <array>
+#include <atomic>
+#include <thread>
+#include <utility>
+#include <vector>
+
+// Last, because it redefines "new".
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+using test_support::scripted_request;
+using test_support::scripted_target;
+using test_support::statusOf;
+using test_support::waitUntil;
+
+static std::string idLine(const std::string &Id) {
+  return Id.empty() ? "" : "Skylarkdyke-Request-Id: " + Id + "\r\n";
+}
+
+/// A refusal of the request with this id.
+static std::string refusal(const std::string &Status, const std::string &Id) {
+  return "HTTP/1.1 " + Status +
+         " Refused\r\nSkylarkdyke-Not-Executed: 1\r\nContent-Length: 0\r\n" +
+         idLine(Id) + "\r\n";
+}
+
+static std::string success(const scripted_request &Request) {
+  const std::string Body = "answer to " + Request.path();
+  return "HTTP/1.1 200 OK\r\nSkylarkdyke-Response-Signature: signed\r\n" +
+         idLine(Request.requestId()) +
+         "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+TEST_GROUP(system_serve_faults) {
+  test_support::platform_stand_in Platform;
+  test_support::served_entry Entry{Platform.storeAddress()};
+  int TargetCount = 0;
+
+  void start() {
+    Platform.put("op/config", test_support::servedRoutes(2));
+    Platform.addUnreachableTarget("t0", "orders", "z");
+    CHECK_TRUE(Entry.start());
+  }
+
+  /// Replaces all targets by this one.
+  void useOnly(const scripted_target &Target) {
+    const std::string Key = "servers/t";
+    Platform.put(Key + std::to_string(++TargetCount),
+                 test_support::servedTarget(Target.address()));
+    Platform.remove(Key + std::to_string(TargetCount - 1));
+    CHECK_TRUE(waitUntil(
+        [&] {
+          return statusOf(ask("GET", "/safe/ready", "ready")) == "200" &&
+                 Target.received("/safe/ready") > 0;
+        },
+        5s));
+  }
+
+  std::string ask(const std::string &Method, const std::string &Path,
+                  const std::string &Id, int DeadlineMs = 2000) const {
+    return test_support::askServed(Entry.front(), Method, Path, Id,
+                                   std::chrono::milliseconds(DeadlineMs));
+  }
+};
+
+namespace {
+
+/// When a target writes a refusal once more: before, together with or after
+/// the bytes of the next request.
+enum class copy_time { Before, Together, After };
+
+struct refusal_copy {
+  const char *Status;
+  copy_time Time;
+  bool HasId;
+  bool CallerHasId;
+
+  std::string name() const {
+    static constexpr std::array Times = {"before", "together", "after"};
+    return std::string(Status) + " " +
+           Times.at(static_cast<std::size_t>(Time)) +
+           (HasId ? " id" : " no-id") +
+           (CallerHasId ? " caller-id" : " caller-no-id");
+  }
+};
+
+/// Target that refuses each request to /once/first and writes the refusal once
+/// more around the next request.
+class copying_target {
+public:
+  explicit copying_target(const refusal_copy &Copy)
+      : Copy(Copy),
+        Target([this](const scripted_request &Request) { respond(Request); }) {}
+
+  std::atomic<bool> CopySent{false};
+
+private:
+  void respond(const scripted_request &Request) {
+    const std::string Refusal = refusal(Copy.Status, Copy.HasId ? "first" : "");
+    if (Request.path() == "/once/first") {
+      Request.send(refusal(Copy.Status, Request.requestId()));
+      if (Copy.Time != copy_time::Before)
+        return;
+      std::this_thread::sleep_for(20ms);
+      Request.send(Refusal);
+      CopySent = true;
+      return;
+    }
+    if (Request.path() != "/once/second")
+      return Request.send(success(Request));
+    // The copy comes only where a refusal was sent before.
+    if (Request.earlierRequests() == 0)
+      return Request.send(success(Request));
+    if (Copy.Time == copy_time::Together)
+      return Request.send(Refusal + success(Request));
+    if (Copy.Time == copy_time::After)
+      Request.send(Refusal);
+    std::this_thread::sleep_for(30ms);
+    Request.send(success(Request));
+  }
+
+  refusal_copy Copy;
+
+public:
+  scripted_target Target;
+};
+
+} // namespace
+
+static std::vector<refusal_copy> allCopies() {
+  std::vector<refusal_copy> Copies;
+  for (const char *Status : {"503", "429", "421", "400"})
+    for (const copy_time Time :
+         {copy_time::Before, copy_time::Together, copy_time::After})
+      for (const bool HasId : {true, false})
+        Copies.push_back({Status, Time, HasId, true});
+  for (const copy_time Time :
+       {copy_time::Before, copy_time::Together, copy_time::After})
+    Copies.push_back({"503", Time, false, false});
+  return Copies;
+}
+
+// Guards against an earlier refusal that is taken for the response to the next
+// request: its caller would be told that the request has not run.
+TEST(system_serve_faults, ACopyOfARefusalRefusesNoOtherRequest) {
+  start();
+  for (const refusal_copy &Copy : allCopies()) {
+    copying_target Target(Copy);
+    useOnly(Target.Target);
+    ask("POST", "/once/first", Copy.CallerHasId ? "first" : "");
+    CHECK_TEXT(Target.Target.received("/once/first") > 0, Copy.name().c_str());
+    if (Copy.Time == copy_time::Before)
+      CHECK_TRUE(waitUntil([&] { return Target.CopySent.load(); }, 5s));
+    // A target that answered 421 is not used until its record changes.
+    if (std::string(Copy.Status) == "421")
+      useOnly(Target.Target);
+    const std::string Response =
+        ask("POST", "/once/second", Copy.CallerHasId ? "second" : "", 500);
+    STRCMP_EQUAL_TEXT("200", statusOf(Response).c_str(), Copy.name().c_str());
+    LONGS_EQUAL_TEXT(1, Target.Target.received("/once/second"),
+                     Copy.name().c_str());
+  }
+}
--- a/tests/unit-gateway-state.cpp
+++ b/tests/unit-gateway-state.cpp
@@ -251,6 +251,8 @@
   Response.erase("Id");
   CHECK(!belongsToRequest(Response, Headers, "current", false));
   CHECK(belongsToRequest(Response, Headers, "current", true));
+  CHECK(!belongsToRequest(Response, Headers, "", false));
+  CHECK(belongsToRequest(Response, Headers, "", true));
 }
 
 TEST(gateway_outcome, ClosedConnectionsHaveAnUnknownOutcome) {
