Answer what has arrived when a stopping entry stops to accept

What callers saw: of requests that came while the process was late or paused in a planned stop, those on connections in the accept queue were reset. A pipelined request that had been read with the one before was cut if the response to that one was written before the stop. An entry could end in the same turn of its loop in which it stopped to accept, with requests unread on open connections.

Cause: stopAccepting() closed the listening socket with connections in its queue; a session that waited for its next request after the stop closed its connection without looking for bytes; the gateway counted only requests whose read had begun.

Evidence: failed before: system_serve_stop.APausedStopAnswersWhatArrivedMeanwhile (expected <250> but was <202> answers), net_server_stop. ConnectionsInTheAcceptQueueAreAnswered (expected <3> active requests but was <0>) and APipelinedRequestIsAnswered (no second request). Passed before, as guards: requests in each tenth of the grace with their header or body half sent before the stop, also if targets outlast the grace, and twenty stops under load.

Why it works: the queue is accepted before the socket is closed, bytes that have arrived count as an active request, and the entry ends at the earliest one turn after it stopped to accept.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -367,6 +367,8 @@
 
 void gateway::impl::continueStop() {
   const auto Now = base::boot_clock::now();
+  // Requests that had arrived by then are read in the next turns of the loop.
+  const bool AcceptStoppedEarlier = AcceptStopped;
   if (!AcceptStopped && Now >= Context.Stop->StopAcceptingAt) {
     AcceptStopped = true;
     FrontServer.stopAccepting();
@@ -376,7 +378,7 @@
       LastResponsesGiven, LastResponsesGiven || Now >= Context.Stop->RespondBy);
   if (LastResponsesGiven)
     detail::exchange::endAllForStop(Context);
-  const bool Drained = AcceptStopped && Context.Running->empty() &&
+  const bool Drained = AcceptStoppedEarlier && Context.Running->empty() &&
                        FrontServer.activeRequests() == 0;
   if (Drained || (RespondedEarlier && Now >= Context.Stop->ExitBy)) {
     SKYLARKDYKE_DECISION(
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -57,6 +57,7 @@
 
   void accept();
   void onAccept(const error_code &Failure, tcp::socket Socket);
+  void acceptQueued();
 
   asio::io_context &Loop;
   tcp::acceptor Acceptor;
@@ -94,8 +95,14 @@
     awaitRequest();
   }
 
+  /// Closes the connection unless a request has arrived on it, which then
+  /// counts as active.
   void closeIfIdle() {
-    if (!IsActive && !hasUnreadBytes())
+    if (IsActive)
+      return;
+    if (hasUnreadBytes())
+      setActive(true);
+    else
       closeSocket();
   }
 
@@ -215,11 +222,13 @@
 }
 
 void session::awaitRequest() {
-  if (Server->Stopped)
-    return closeSocket();
   setActive(false);
   if (Buffer.size() > 0)
     return readHeader();
+  if (Server->Stopped)
+    closeIfIdle();
+  if (!Socket.is_open())
+    return;
   Buffer.shrink_to_fit();
   IdleSince = base::boot_clock::now();
   setIdleTimer();
@@ -417,7 +426,7 @@
 
 void http_server::impl::onAccept(const error_code &Failure,
                                  tcp::socket Socket) {
-  if (Stopped)
+  if (Failure && Stopped)
     return;
   if (Failure) {
     LOG(WARNING) << "cannot accept a connection: " << Failure.message();
@@ -430,6 +439,19 @@
   accept();
 }
 
+/// Accepts the connections that wait in the accept queue. They would be reset
+/// when the server stops to listen, with the requests sent on them.
+void http_server::impl::acceptQueued() {
+  error_code Failure;
+  Acceptor.non_blocking(true, Failure);
+  while (!Failure && Sessions.size() < MaxConnections) {
+    tcp::socket Socket(Loop);
+    Acceptor.accept(Socket, Failure);
+    if (!Failure)
+      std::make_shared<session>(shared_from_this(), std::move(Socket))->start();
+  }
+}
+
 http_server::http_server(asio::io_context &Loop, std::size_t MaxConnections,
                          std::function<base::message_limits()> Limits,
                          handler OnRequest)
@@ -461,6 +483,9 @@
 void http_server::drain() { Impl->Draining = true; }
 
 void http_server::stopAccepting() {
+  if (Impl->Stopped)
+    return;
+  Impl->acceptQueued();
   Impl->Stopped = true;
   error_code Ignored;
   Impl->Acceptor.close(Ignored);
