Wait for the newer configuration of connected peers before being ready

What callers saw: a restarted entry of the run engine was ready and served a route that an operator had withdrawn, until the newer version arrived.

Cause: an entry was ready once it had a seat and its seeds were connected. The greeting of a peer names its version; the document comes a round trip later. If the store's read was stale, the entry looked whether it was ready, every 100 ms, between the two.

Why it works: while a connected peer names a newer version, the entry is not ready, for at most 5 s: the peer may have a document that the entry refuses.

--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -4,6 +4,7 @@
 #include "entry/detail/identity.hpp"
 #include "entry/detail/load_board.hpp"
 #include "entry/detail/metrics_page.hpp"
+#include "entry/detail/readiness.hpp"
 #include "skylarkdyke/base/event.hpp"
 #include "skylarkdyke/callers/caller_service.hpp"
 #include "skylarkdyke/entries/config_exchange.hpp"
@@ -32,6 +33,9 @@
 /// Time after which an entry stops waiting for its seat and for peers, so that
 /// neither a store outage nor a dead peer keeps it from becoming ready.
 constexpr std::chrono::seconds SettleTime = 2s;
+/// Time after which an entry no longer waits for the newer configuration of a
+/// connected peer, which may be one that it cannot read.
+constexpr std::chrono::seconds CatchUpTime = 5s;
 /// Longest time that a graceful stop waits for lookup answers to expire and for
 /// requests in flight.
 constexpr std::chrono::seconds MaxDrainTime = 60s;
@@ -58,7 +62,7 @@
   callers::dependencies callerDependencies();
   void publishSelf();
   void tick();
-  bool hasSettled() const;
+  bool hasSettled(const config::document &Document) const;
   void updateReadiness();
   void updateSeat();
   void dial(const instances::instance_list &List);
@@ -98,6 +102,7 @@
   http::server AdminServer;
   detail::control_loop Control;
   base::boot_time StopWaiting;
+  base::boot_time StopCatchingUp;
   std::shared_ptr<const config::document> Applied;
   bool IsReady = false;
 };
@@ -195,15 +200,19 @@
 
 /// Whether everything that an entry waits for before it serves callers is
 /// there, or has had its time.
-bool entry::impl::hasSettled() const {
-  if (base::boot_clock::now() >= StopWaiting)
+bool entry::impl::hasSettled(const config::document &Document) const {
+  const auto Now = base::boot_clock::now();
+  const auto Members = Mesh.members();
+  // The store's answer may be stale.
+  if (Now < StopCatchingUp && detail::isBehindPeers(Members, Document.Version))
+    return false;
+  if (Now >= StopWaiting)
     return true;
   // Without a share of the caps the first requests would be refused.
   if (!Seat.authority())
     return false;
-  // The store's answer alone may be stale, and a key of a member that is not
-  // known yet would be taken for one of an entry that is gone.
-  const auto Members = Mesh.members();
+  // A member that is not connected yet may have a newer version, and its keys
+  // would be taken for those of an entry that is gone.
   const auto Reachable =
       std::count_if(Members.begin(), Members.end(),
                     [](const auto &Each) { return Each.Reachable; });
@@ -223,7 +232,7 @@
 
 void entry::impl::updateReadiness() {
   const auto Document = Config.current();
-  if (!IsReady && Document && hasSettled()) {
+  if (!IsReady && Document && hasSettled(*Document)) {
     IsReady = true;
     SKYLARKDYKE_LOG(INFO, EntryReady)
         << Settings.Name.str() << " with version " << Document->Version;
@@ -358,6 +367,7 @@
 
 bool entry::start() {
   Impl->StopWaiting = base::boot_clock::now() + SettleTime;
+  Impl->StopCatchingUp = base::boot_clock::now() + CatchUpTime;
   if (!Impl->startServers())
     return false;
   Impl->Watcher.start();
--- a/tests/system-configuration.cpp
+++ b/tests/system-configuration.cpp
@@ -124,6 +124,30 @@
   }
 }
 
+// Guards against an entry that is ready once its peer is connected, before the
+// newer version of that peer has arrived: it would serve a stale read.
+TEST(system_configuration, AnEntryIsNotReadyBeforeItHasTheVersionOfItsPeer) {
+  cluster Cluster("rozpalka", 2);
+  CHECK_TRUE(Cluster.start());
+  CHECK_TRUE(Cluster.submit(withoutService(Cluster, "quote-desk", 2)));
+  CHECK_TRUE(waitUntil(
+      [&] {
+        return inForceAt(Cluster, {0, 1});
+      },
+      InForceLimit));
+  Cluster.setStoreFaults({{"stale_reads", 50}});
+  Cluster.killEntry(1);
+  // Between the greeting of the peer and its document is a round trip, far
+  // longer than the period in which an entry checks whether it is ready.
+  nlohmann::json Slow;
+  for (const auto &Entry : Cluster.Plan.Entries)
+    Slow[Entry.Name + "-peers"] = {{"extra_delay_us", 200000}};
+  Cluster.setFaults({{"addresses", Slow}});
+  Cluster.startEntry(1);
+  CHECK_TRUE(waitUntil([&] { return Cluster.isReady(1); }, 10s));
+  CHECK_FALSE(hasService(Cluster, 1, "quote-desk"));
+}
+
 // Guards against an entry that says it is ready without any configuration.
 TEST(system_configuration, AloneInAnOutageAnEntryIsAliveButNotReady) {
   cluster Cluster("rozpalka", 1);
