--- a/src/membership/messages.cpp
+++ b/src/membership/messages.cpp
@@ -16,6 +16,9 @@
 static constexpr int StateUpdateKind = 2;
 /// Longest interval between heartbeats that a sender may announce.
 static constexpr milliseconds MaxAnnouncedPeriod{10000};
+/// Longest age of a state that a sender may report, so that no sum with a time
+/// overflows.
+static constexpr milliseconds MaxStateAge{std::chrono::hours(24)};
 
 /// Bits of the flags of an entry.
 static constexpr unsigned ReadyFlag = 1;
@@ -49,6 +52,30 @@
   return Bytes;
 }
 
+static json weightsToJson(const share_weights &Weights) {
+  return {Weights.Default, Weights.ByService};
+}
+
+static share_weights weightsFromJson(const json &Fields) {
+  return {Fields.at(0), Fields.at(1).get<std::map<std::string, double>>()};
+}
+
+static json silentToJson(const std::vector<silent_holder> &Holders) {
+  json Rows = json::array();
+  for (const silent_holder &Holder : Holders)
+    Rows.push_back({base::toString(Holder.MeshAddress),
+                    weightsToJson(Holder.Weights), Holder.ReservedFor.count()});
+  return Rows;
+}
+
+static std::vector<silent_holder> silentFromJson(const json &Rows) {
+  std::vector<silent_holder> Holders;
+  for (const json &Row : Rows)
+    Holders.push_back({toEndpoint(Row.at(0)), weightsFromJson(Row.at(1)),
+                       milliseconds(Row.at(2).get<std::int64_t>())});
+  return Holders;
+}
+
 static json statusToJson(const entry_status &Status) {
   json Known = json::array();
   for (const base::endpoint &Address : Status.KnownAddresses)
@@ -65,7 +92,10 @@
           Status.Capacity,
           Status.NextHeartbeatIn.count(),
           Status.ConfigurationVersion,
-          Status.StateAge ? json(Status.StateAge->count()) : json()};
+          Status.StateAge ? json(Status.StateAge->count()) : json(),
+          Status.BaseWeight,
+          Status.HeardIncarnations,
+          silentToJson(Status.SilentHolders)};
 }
 
 static entry_status statusFromJson(const json &Fields) {
@@ -85,8 +115,12 @@
   Status.NextHeartbeatIn = toPeriod(Fields.at(10));
   Status.ConfigurationVersion = Fields.at(11);
   if (!Fields.at(12).is_null())
-    Status.StateAge = std::max(milliseconds(Fields.at(12).get<std::int64_t>()),
-                               milliseconds(0));
+    Status.StateAge =
+        std::clamp(milliseconds(Fields.at(12).get<std::int64_t>()),
+                   milliseconds(0), MaxStateAge);
+  Status.BaseWeight = Fields.at(13);
+  Status.HeardIncarnations = Fields.at(14).get<std::vector<std::uint64_t>>();
+  Status.SilentHolders = silentFromJson(Fields.at(15));
   return Status;
 }
 
@@ -142,8 +176,9 @@
 std::string encode(const digest &Digest) {
   json Summaries = json::array();
   for (const region_summary &Summary : Digest.Summaries)
-    Summaries.push_back(
-        {Summary.Region.str(), Summary.EntryCount, Summary.Demand});
+    Summaries.push_back({Summary.Region.str(), Summary.EntryCount,
+                         Summary.Demand, weightsToJson(Summary.Weights),
+                         Summary.HolderCount});
   return toCbor({MessageVersion, DigestKind, statusToJson(Digest.Sender),
                  entriesToJson(Digest.Entries), Summaries});
 }
@@ -152,10 +187,17 @@
   digest Digest;
   Digest.Sender = statusFromJson(Message.at(2));
   Digest.Entries = entriesFromJson(Message.at(3));
-  for (const json &Fields : Message.at(4))
-    Digest.Summaries.push_back(
-        {base::region_name(Fields.at(0).get<std::string>()), Fields.at(1),
-         Fields.at(2).get<demand_by_service>()});
+  for (const json &Fields : Message.at(4)) {
+    region_summary &Summary = Digest.Summaries.emplace_back();
+    Summary.Region = base::region_name(Fields.at(0).get<std::string>());
+    Summary.EntryCount = Fields.at(1);
+    Summary.Demand = Fields.at(2).get<demand_by_service>();
+    Summary.HolderCount = Summary.EntryCount;
+    if (Fields.size() > 4) {
+      Summary.Weights = weightsFromJson(Fields.at(3));
+      Summary.HolderCount = Fields.at(4);
+    }
+  }
   return Digest;
 }
 
