--- a/tests/support/platform_stand_in.cpp
+++ b/tests/support/platform_stand_in.cpp
@@ -4,6 +4,7 @@
 #include "skylarkdyke/net/http_server.hpp"
 #include "support/free_port.hpp"
 
+#include <algorithm>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -113,6 +114,7 @@
   std::vector<pending> SilencedRequests;
   std::uint64_t Revision = 10;
   bool TurnsAllAway = false;
+  bool IsSilent = false;
   std::map<std::string, std::unique_ptr<stand_in_target>> Targets;
   std::map<std::string, int> Runs;
   std::thread Thread;
@@ -143,6 +145,8 @@
 
 void platform_stand_in::impl::handleStore(const pending &Request) {
   const std::string Target(Request->request().target());
+  if (IsSilent)
+    return SilencedRequests.push_back(Request);
   if (TurnsAllAway)
     return Request->answer(net::makeResponse(503));
   if (Target.find("/api/kv-range") == 0)
@@ -315,6 +319,25 @@
   });
 }
 
+void platform_stand_in::fallSilent() {
+  silenceWaitingWatches();
+  Impl->onLoop([this] { return Impl->IsSilent = true; });
+}
+
+void platform_stand_in::answerAgain() {
+  Impl->onLoop([this] { return Impl->IsSilent = false; });
+}
+
+std::size_t platform_stand_in::silencedWatches() const {
+  return Impl->onLoop([this] {
+    return static_cast<std::size_t>(std::count_if(
+        Impl->SilencedRequests.begin(), Impl->SilencedRequests.end(),
+        [](const pending &Request) {
+          return Request->request().target().starts_with("/api/kv-watch");
+        }));
+  });
+}
+
 void platform_stand_in::turnAllAway() {
   Impl->onLoop([&] { return Impl->TurnsAllAway = true; });
 }
--- a/tests/support/platform_stand_in.hpp
+++ b/tests/support/platform_stand_in.hpp
@@ -33,6 +33,13 @@
   /// connections stay open, and new calls are answered.
   void silenceWaitingWatches();
 
+  /// \brief Until answerAgain(), the store answers nothing. Calls of that time
+  /// are never answered, and their connections stay open.
+  void fallSilent();
+  void answerAgain();
+  /// \brief Returns how many watch calls were left without an answer for good.
+  std::size_t silencedWatches() const;
+
   /// \brief Starts a target and registers it.
   /// \param Work time that each request takes
   void addTarget(const std::string &Id, const std::string &Service,
--- a/tests/system-serve.cpp
+++ b/tests/system-serve.cpp
@@ -339,6 +339,27 @@
       4s));
 }
 
+// Guards against an entry that learns of changes seconds after the end of a
+// long silence of the store, because it waits on a connection of before.
+TEST(system_serve, ALongSilenceOfTheStoreDelaysNoChangeAfterIt) {
+  startEntries(1);
+  Platform.fallSilent();
+  std::this_thread::sleep_for(7s);
+  Platform.put("op/config", configuration(5, "stock"));
+  const std::size_t Watches = Platform.silencedWatches();
+  CHECK_TRUE(test_support::waitUntil(
+      [&] { return Platform.silencedWatches() > Watches; }, 8s));
+  Platform.answerAgain();
+  std::string Answer;
+  CHECK_TRUE(test_support::waitUntil(
+      [&] {
+        askRoute(Entries[0].Front, "l" + std::to_string(++NextId), "GET",
+                 "/safe/x", Answer);
+        return Platform.runsAt("s1") > 0;
+      },
+      2s));
+}
+
 // Guards against a planned stop that cuts requests or keeps running.
 TEST(system_serve, AStopCutsNoRequest) {
   startEntries(1);
