Tell other entries of removals that a listing finds

An entry that lists the store anew, because the store has dropped its history, finds removed targets and ended evacuations by their absence. No item has a newer revision then, so that the other entries did not take its state for newer, and went on using removed targets until another change. The revision of the listing now counts as that of the removals.

An entry that asks for changes which are not known one by one gets the complete state; this now uses the kept copy and the limit on the link, as for entries that start: after a lost history all entries ask at the same time.

--- a/include/skylarkdyke/placement/target_registry.hpp
+++ b/include/skylarkdyke/placement/target_registry.hpp
@@ -116,11 +116,13 @@
   bool upsert(const routing::target &Target, base::boot_time Now);
 
   /// \brief Removes a target as of a time, which may lie in the future.
-  void remove(const base::target_id &Id, base::boot_time At);
+  /// \return false if the target is unknown or its removal is known already
+  bool remove(const base::target_id &Id, base::boot_time At);
 
   /// \brief Removes all targets that are not listed, as of a time.
-  void removeUnlisted(const std::set<base::target_id> &Listed,
-                      base::boot_time At);
+  /// \return number of targets whose removal was not known before
+  std::size_t removeUnlisted(const std::set<base::target_id> &Listed,
+                             base::boot_time At);
 
   /// \brief Erases targets whose removal time has passed and that have no
   /// requests of this entry in flight.
--- a/src/gateway/detail/mesh_link.cpp
+++ b/src/gateway/detail/mesh_link.cpp
@@ -258,11 +258,12 @@
     return Request->answer(net::makeResponse(404));
   const std::uint64_t Revision =
       std::strtoull(Target.c_str() + StatePath.size(), nullptr, 10);
-  const auto State = Revision == 0 ? takeSnapshot(base::boot_clock::now())
-                                   : this->State.encodeStateAfter(Revision);
-  if (!State)
+  const auto Bytes = State.hasChangesAfter(Revision)
+                         ? State.encodeStateAfter(Revision)
+                         : takeSnapshot(base::boot_clock::now());
+  if (!Bytes)
     return Request->answer(net::makeResponse(503, "ask another entry\n"));
-  Request->answer(net::makeResponse(200, *State, "application/cbor"));
+  Request->answer(net::makeResponse(200, *Bytes, "application/cbor"));
 }
 
 /// Returns the live entries with a newer state.
--- a/src/gateway/detail/steering_state.cpp
+++ b/src/gateway/detail/steering_state.cpp
@@ -106,13 +106,18 @@
     if (const auto *Domain = std::get_if<routing::evacuation_started>(&Item))
       Evacuated.insert(Domain->Domain);
   }
-  TargetRegistry.removeUnlisted(Listed, removalTime());
+  bool HasRemovals = TargetRegistry.removeUnlisted(Listed, removalTime()) > 0;
   const auto EvacuatedBefore = TargetRegistry.evacuatedDomains();
   for (const base::domain_name &Domain : EvacuatedBefore)
-    if (Evacuated.count(Domain) == 0)
+    if (Evacuated.count(Domain) == 0) {
       applyChange(routing::evacuation_ended{Domain});
+      HasRemovals = true;
+    }
   HasTargets = HasTargets || !Listed.empty();
-  ChangeRevision = std::max(ChangeRevision, NewestRevision);
+  // A removal leaves no item behind whose revision would tell other entries of
+  // it.
+  ChangeRevision =
+      std::max({ChangeRevision, NewestRevision, HasRemovals ? AsOf : 0});
 }
 
 void steering_state::apply(const routing::store_change &Change,
@@ -189,7 +194,7 @@
 }
 
 std::string steering_state::encodeStateAfter(std::uint64_t Revision) const {
-  if (!Log.covers(Revision) || Revision == 0)
+  if (!hasChangesAfter(Revision))
     return encodeSnapshot();
   const auto Now = Clock();
   state_changes Changes;
--- a/src/gateway/detail/steering_state.hpp
+++ b/src/gateway/detail/steering_state.hpp
@@ -98,6 +98,11 @@
   /// \brief Encodes the complete state as CBOR for another entry.
   std::string encodeSnapshot() const;
 
+  /// \brief Returns whether the changes after a revision are known one by one.
+  bool hasChangesAfter(std::uint64_t Revision) const {
+    return Revision != 0 && Log.covers(Revision);
+  }
+
   /// \brief Encodes for another entry what has changed after a revision: the
   /// changes, or the complete state if they are no longer known one by one.
   std::string encodeStateAfter(std::uint64_t Revision) const;
--- a/src/placement/target_registry.cpp
+++ b/src/placement/target_registry.cpp
@@ -74,17 +74,22 @@
   State.ColdUntil = Until;
 }
 
-void target_registry::remove(const base::target_id &Id, base::boot_time At) {
+bool target_registry::remove(const base::target_id &Id, base::boot_time At) {
   const auto Found = States.find(Id);
-  if (Found != States.end() && !Found->second->RemovedAt)
-    Found->second->RemovedAt = At;
+  if (Found == States.end() || Found->second->RemovedAt)
+    return false;
+  Found->second->RemovedAt = At;
+  return true;
 }
 
-void target_registry::removeUnlisted(const std::set<base::target_id> &Listed,
-                                     base::boot_time At) {
+std::size_t
+target_registry::removeUnlisted(const std::set<base::target_id> &Listed,
+                                base::boot_time At) {
+  std::size_t Removed = 0;
   for (const auto &[Id, State] : States)
-    if (Listed.count(Id) == 0)
-      remove(Id, At);
+    if (Listed.count(Id) == 0 && remove(Id, At))
+      ++Removed;
+  return Removed;
 }
 
 void target_registry::sweep(base::boot_time Now) {
