Ignore changes that a newer adopted state holds already

A relay that waits for a slow response of the store may adopt a newer state of another entry meanwhile. The response was then applied over it, and the feed went on after the adopted state: a target that the newer state calls draining was ready again, for good.

gateway_revisions.ALateEventDoesNotReplaceANewerState fails without the fix.

--- a/src/gateway/detail/steering_state.cpp
+++ b/src/gateway/detail/steering_state.cpp
@@ -122,6 +122,10 @@
 
 void steering_state::apply(const routing::store_change &Change,
                            std::uint64_t Revision) {
+  // A slow response of the store may hold what a newer state of another entry
+  // has replaced.
+  if (Revision <= ConfirmedRevision)
+    return;
   applyChange(Change);
   record(Change, Revision);
 }
--- a/tests/unit-gateway-revisions.cpp
+++ b/tests/unit-gateway-revisions.cpp
@@ -47,6 +47,21 @@
   entry_state Other;
 };
 
+// Guards against a slow response of the store that brings back what a newer
+// state of another entry has replaced.
+TEST(gateway_revisions, ALateEventDoesNotReplaceANewerState) {
+  for (entry_state *Entry : {&Own, &Other}) {
+    Entry->State.apply(routing::configuration_published{"7"}, 8);
+    Entry->State.apply(record(false), 9);
+    Entry->State.confirmRevision(9);
+  }
+  Other.State.apply(record(true), 12);
+  Other.State.confirmRevision(12);
+  CHECK(Own.State.adoptState(Other.State.encodeStateAfter(9)));
+  Own.State.apply(record(false), 10);
+  CHECK(!Own.acceptsRequests());
+}
+
 // Guards against entries that are not told of what a listing of the store no
 // longer holds, because no item of it has a newer revision.
 TEST(gateway_revisions, ARemovalFoundByAListingIsAChange) {
