Let an entry that is behind ask a second one while the first is silent

And a fetch whose changes had arrived in a datagram meanwhile counted as a failure, also when all was well, so that the next fetch went to any entry that was a little ahead in place of one with the newest state.

After 300 ms without a response (800 ms for the complete state, which takes longer to send) a second entry is asked; two fetches run at most. Only a response that brings nothing while another entry is still ahead counts as failed, and an entry that has caught up forgets its failures.

--- a/src/gateway/detail/mesh_link.cpp
+++ b/src/gateway/detail/mesh_link.cpp
@@ -23,6 +23,11 @@
 static constexpr milliseconds FollowerFetchDelay{400};
 static constexpr milliseconds FetchTimeout{1500};
 static constexpr milliseconds FetchConnectTimeout{500};
+/// Time after which a second entry is asked while the first one is silent: for
+/// changes, and for the complete state, which takes longer to send.
+static constexpr milliseconds SecondFetchDelay{300};
+static constexpr milliseconds SecondSnapshotDelay{800};
+static constexpr std::size_t MaxRunningFetches = 2;
 static constexpr std::size_t MaxMeshConnections = 256;
 /// Maximum size of changes that are published in a datagram. Larger ones are
 /// fetched.
@@ -79,8 +84,8 @@
   error_code Ignored;
   Socket.close(Ignored);
   Server.stopAccepting();
-  if (StateChannel)
-    StateChannel->close();
+  for (const running_fetch &Fetch : Fetches)
+    Fetch.Channel->close();
 }
 
 void mesh_link::receive() {
@@ -255,29 +260,40 @@
   Request->answer(net::makeResponse(200, *State, "application/cbor"));
 }
 
-/// Returns an entry with a newer state; null if none is known. The first choice
-/// is one with the newest state, so that an entry that starts does not take
-/// over what others know to be out of date. Later choices differ, so that no
-/// entry has to serve all.
-const membership::member_table::member *
-mesh_link::bestSource(base::boot_time Now) const {
-  std::vector<const membership::member_table::member *> Ahead;
-  std::uint64_t NewestRevision = 0;
-  for (const auto *Member : Members.liveMembers(Now)) {
+/// Returns the live entries with a newer state.
+std::vector<const mesh_link::member *>
+mesh_link::entriesAhead(base::boot_time Now) const {
+  std::vector<const member *> Ahead;
+  for (const member *Member : Members.liveMembers(Now)) {
     // Only relays tell their revision to all; an entry without a state also
     // takes that of any other that is ready.
     const bool HasState = !State.isComplete() && Member->Status.Ready;
     if (Member->Status.ChangeRevision > State.confirmedRevision() || HasState)
       Ahead.push_back(Member);
-    NewestRevision = std::max(NewestRevision, Member->Status.ChangeRevision);
   }
-  if (FailedFetches == 0)
-    Ahead.erase(std::remove_if(Ahead.begin(), Ahead.end(),
-                               [NewestRevision](const auto *Member) {
-                                 return Member->Status.ChangeRevision <
-                                        NewestRevision;
-                               }),
-                Ahead.end());
+  return Ahead;
+}
+
+/// Returns the entry to ask; null if all are being asked. The first choice is
+/// one with the newest state, so that an entry that starts does not take over
+/// what others know to be out of date. Later choices differ, so that no entry
+/// has to serve all.
+const mesh_link::member *
+mesh_link::chooseSource(std::vector<const member *> Ahead) const {
+  std::uint64_t NewestRevision = 0;
+  for (const member *Member : Ahead)
+    NewestRevision = std::max(NewestRevision, Member->Status.ChangeRevision);
+  const bool IsFirst = FailedFetches == 0 && Fetches.empty();
+  const auto IsExcluded = [&](const member *Member) {
+    const bool IsAsked =
+        std::any_of(Fetches.begin(), Fetches.end(), [&](const auto &Fetch) {
+          return Fetch.From == Member->Status.MeshAddress;
+        });
+    return IsAsked ||
+           (IsFirst && Member->Status.ChangeRevision < NewestRevision);
+  };
+  Ahead.erase(std::remove_if(Ahead.begin(), Ahead.end(), IsExcluded),
+              Ahead.end());
   if (Ahead.empty())
     return nullptr;
   const std::size_t Choice =
@@ -285,10 +301,18 @@
   return Ahead[Choice % Ahead.size()];
 }
 
+bool mesh_link::mayStartFetch(base::boot_time Now) const {
+  const milliseconds Delay =
+      State.isComplete() ? SecondFetchDelay : SecondSnapshotDelay;
+  return Fetches.empty() || (Fetches.size() < MaxRunningFetches &&
+                             Now - Fetches.back().StartedAt >= Delay);
+}
+
 void mesh_link::fetchIfBehind(base::boot_time Now) {
-  const auto *Source = bestSource(Now);
-  if (Source == nullptr) {
+  auto Ahead = entriesAhead(Now);
+  if (Ahead.empty()) {
     BehindSince = {};
+    FailedFetches = 0;
     return;
   }
   if (BehindSince == base::boot_time{})
@@ -296,13 +320,15 @@
   const milliseconds Delay =
       Members.isRelay() ? WatchDelay + FetchDelay : FollowerFetchDelay;
   const bool Due = !State.isComplete() || Now - BehindSince >= Delay;
-  if (Due && !FetchInProgress)
+  if (!Due || !mayStartFetch(Now))
+    return;
+  if (const member *Source = chooseSource(std::move(Ahead)))
     fetchState(Source->Status.MeshAddress, Now);
 }
 
 void mesh_link::fetchState(const base::endpoint &From, base::boot_time Now) {
-  FetchInProgress = true;
-  StateChannel = net::http_channel::create(Loop, From, Memory);
+  const auto Channel = net::http_channel::create(Loop, From, Memory);
+  Fetches.push_back({From, Now, Channel});
   net::http_request Request(
       bhttp::verb::get,
       StatePath +
@@ -310,26 +336,36 @@
       11);
   Request.set(bhttp::field::host, base::toString(From));
   Request.set(bhttp::field::connection, "close");
-  StateChannel->call(
+  Channel->call(
       std::move(Request), {Now + FetchConnectTimeout, Now + FetchTimeout},
       [](const net::http_response &) { return true; },
-      [this, From](net::call_result Result) {
-        FetchInProgress = false;
-        ++FailedFetches;
-        if (!Result) {
-          LOG(WARNING) << "cannot fetch the state of " << base::toString(From)
-                       << ": " << net::toString(Result.error().Fault);
-          return;
-        }
-        const net::http_response &Response = Result.value();
-        if (Response.result_int() == 200 && State.adoptState(Response.body())) {
-          FailedFetches = 0;
-          SKYLARKDYKE_LOG(INFO, PeerConfigInstalled)
-              << "from=" << base::toString(From)
-              << " revision=" << State.confirmedRevision();
-          OnUpdate();
-        }
+      [this, From](const net::call_result &Result) {
+        onStateResponse(From, Result);
       });
 }
 
+void mesh_link::onStateResponse(const base::endpoint &From,
+                                const net::call_result &Result) {
+  Fetches.erase(
+      std::remove_if(Fetches.begin(), Fetches.end(),
+                     [&](const auto &Fetch) { return Fetch.From == From; }),
+      Fetches.end());
+  if (!Result || Result.value().result_int() != 200) {
+    ++FailedFetches;
+    LOG(WARNING) << "cannot fetch the state of " << base::toString(From) << ": "
+                 << (Result ? "refused" : net::toString(Result.error().Fault));
+    return;
+  }
+  if (State.adoptState(Result.value().body())) {
+    FailedFetches = 0;
+    SKYLARKDYKE_LOG(INFO, PeerConfigInstalled)
+        << "from=" << base::toString(From)
+        << " revision=" << State.confirmedRevision();
+    return OnUpdate();
+  }
+  // What it sent may have arrived in another way meanwhile.
+  if (!entriesAhead(base::boot_clock::now()).empty())
+    ++FailedFetches;
+}
+
 } // namespace skylarkdyke::gateway::detail
--- a/src/gateway/detail/mesh_link.hpp
+++ b/src/gateway/detail/mesh_link.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace skylarkdyke::gateway::detail {
 
@@ -47,6 +48,14 @@
   void broadcastHeartbeat(base::boot_time Now);
 
 private:
+  using member = membership::member_table::member;
+  /// A request for the state of another entry that has no response yet.
+  struct running_fetch {
+    base::endpoint From;
+    base::boot_time StartedAt;
+    std::shared_ptr<net::http_channel> Channel;
+  };
+
   void receive();
   void onDatagram(std::size_t Size);
   void onHeartbeat(const membership::entry_status &Status);
@@ -59,9 +68,13 @@
   void publishChanges(base::boot_time Now);
   std::optional<std::string> takeSnapshot(base::boot_time Now);
   void onStateRequest(const std::shared_ptr<net::pending_request> &Request);
-  const membership::member_table::member *bestSource(base::boot_time Now) const;
+  std::vector<const member *> entriesAhead(base::boot_time Now) const;
+  const member *chooseSource(std::vector<const member *> Ahead) const;
+  bool mayStartFetch(base::boot_time Now) const;
   void fetchIfBehind(base::boot_time Now);
   void fetchState(const base::endpoint &From, base::boot_time Now);
+  void onStateResponse(const base::endpoint &From,
+                       const net::call_result &Result);
 
   boost::asio::io_context &Loop;
   net::response_memory &Memory;
@@ -75,10 +88,9 @@
   boost::asio::ip::udp::endpoint Sender;
   std::array<char, 65536> Datagram{};
   net::http_server Server;
-  std::shared_ptr<net::http_channel> StateChannel;
-  bool FetchInProgress = false;
-  /// Number of fetches since the last one that brought a newer state, so that
-  /// an entry asks another one after a failure.
+  std::vector<running_fetch> Fetches;
+  /// Number of consecutive fetches that failed, so that an entry asks another
+  /// one after a failure.
   std::size_t FailedFetches = 0;
   /// Time since which another entry has had a newer state; the epoch if none
   /// has.
