Replace relays that are silent before they count as dead

Callers would see 404 for a route of a confirmed version, or the old service, for 2 s and more on all entries of a region whose relays vanish together: a relay was selected until it counted as dead, 3.2 s after its last digest, while a change must be in force after 2.5 to 4 s, and until then nobody watched the store for the followers.

A relay is now passed over in the selection once a heartbeat is 0.75 s overdue, 1.75 s after the last one. It counts as live for the directory as before. The entry that is next in its failure domain watches the store meanwhile; other entries do not, so that the store is not asked by a whole region. Entries that send no heartbeats to this one are known from digests only and stay candidates.

Test that failed before: membership_fleet. RelaysThatVanishAreReplacedWithinTheBoundOfOperators ("CHECK(Count >= 1 ...) failed": no relay after 2.25 s).

--- a/include/skylarkdyke/membership/member_table.hpp
+++ b/include/skylarkdyke/membership/member_table.hpp
@@ -42,6 +42,10 @@
 /// Network delay of a heartbeat that is tolerated before an entry counts as
 /// dead.
 inline constexpr std::chrono::milliseconds MaxHeartbeatDelay{200};
+/// Delay of the next heartbeat of an entry after which it is no relay any more,
+/// long before it counts as dead: changes of the store must reach its failure
+/// domain in time.
+inline constexpr std::chrono::milliseconds MaxRelaySilence{750};
 /// Interval between probes of a dead entry.
 inline constexpr std::chrono::milliseconds DeadProbePeriod{2000};
 /// Time without a heartbeat after which a dead entry is no longer contacted.
@@ -71,6 +75,9 @@
     /// Time after which the entry counts as dead unless something more is
     /// heard of it.
     base::boot_time LiveUntil;
+    /// Time after which the entry is not selected as a relay unless it sends
+    /// another heartbeat; without end for one that has sent none to this entry.
+    base::boot_time RelayUntil = base::boot_time::max();
     /// Time after which the demand no longer counts, because the entry reports
     /// it to others.
     base::boot_time DemandValidUntil{};
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -71,8 +71,11 @@
   }
   Member.Region = regionOf(Status.Domain);
   Member.LiveUntil = LiveUntil;
-  if (IsDirect)
+  if (IsDirect) {
     Member.DemandValidUntil = LiveUntil;
+    Member.RelayUntil =
+        Now + std::min(Status.NextHeartbeatIn, DigestPeriod) + MaxRelaySilence;
+  }
   return Restarted || !WasLive;
 }
 
@@ -109,17 +112,21 @@
 void member_table::updateRelays(const entry_status &Own, base::boot_time Now) {
   std::map<base::region_name, std::vector<const entry_status *>> ByRegion;
   ByRegion[OwnRegion].push_back(&Own);
+  std::vector<const entry_status *> LocalCandidates{&Own};
   for (auto It = Members.begin(); It != Members.end();) {
     const member &Member = It->second;
     if (Now <= Member.LiveUntil)
       ByRegion[Member.Region].push_back(&Member.Status);
+    if (Now <= std::min(Member.LiveUntil, Member.RelayUntil) &&
+        Member.Region == OwnRegion)
+      LocalCandidates.push_back(&Member.Status);
     It = Now > Member.LiveUntil + DeadContactRetention ? Members.erase(It)
                                                        : std::next(It);
   }
   RemoteReceivers.clear();
   for (const auto &[Region, Entries] : ByRegion) {
     const bool IsSmall = Entries.size() <= MaxFullMeshSize;
-    auto Relays = selectRelays(Entries);
+    auto Relays = selectRelays(Region == OwnRegion ? LocalCandidates : Entries);
     if (Region == OwnRegion) {
       FullMesh = IsSmall;
       LocalRelays = std::move(Relays);
--- a/tests/unit-membership-fleet.cpp
+++ b/tests/unit-membership-fleet.cpp
@@ -212,6 +212,40 @@
   checkAllKnown(Fleet);
 }
 
+// Guards against failure domains that nobody sends the changes of the store for
+// longer than these may take, and against entries that all watch the store.
+TEST(membership_fleet, RelaysThatVanishAreReplacedWithinTheBoundOfOperators) {
+  for (const std::size_t Size : {18, 297}) {
+    fleet Fleet(Size, 0);
+    Fleet.run(8s);
+    std::map<base::domain_name, std::size_t> Relays;
+    for (fleet_entry &Entry : Fleet.Entries)
+      Entry.Alive = !Entry.Table->isRelay();
+    Fleet.run(2250ms);
+    for (const fleet_entry &Entry : Fleet.Entries)
+      Relays[Entry.Own.Domain] += Entry.Alive && Entry.Table->isRelay() ? 1 : 0;
+    for (const auto &[Domain, Count] : Relays)
+      CHECK_TEXT(Count >= 1 && Count <= 4,
+                 (Domain.str() + " has " + std::to_string(Count)).c_str());
+  }
+}
+
+// Guards against relays that change on a calm day.
+TEST(membership_fleet, RelaysStayTheSameWhileAllIsWell) {
+  for (const std::size_t Size : {18, 90}) {
+    fleet Fleet(Size, 0);
+    Fleet.run(8s);
+    std::vector<bool> Before;
+    for (const fleet_entry &Entry : Fleet.Entries)
+      Before.push_back(Entry.Table->isRelay());
+    for (int Step = 0; Step < 20; ++Step) {
+      Fleet.run(250ms);
+      for (std::size_t I = 0; I < Size; ++I)
+        CHECK_EQUAL(Before[I], Fleet.Entries[I].Table->isRelay());
+    }
+  }
+}
+
 // Guards against shares of limits that add up to more than the limit, because
 // entries do not know the demand or the number of the others.
 TEST(membership_fleet, AllEntriesKnowTheTotalsOfEachRegion) {
