--- a/tests/system-serve.cpp
+++ b/tests/system-serve.cpp
@@ -319,6 +319,25 @@
       4s));
 }
 
+// Guards against a relay that learns of a change later than operators allow,
+// because the store, which answers at once otherwise, is silent on its watch.
+TEST(system_serve, ASilentWatchEndsWithinTheBoundOfOperators) {
+  startEntries(1);
+  std::this_thread::sleep_for(3100ms);
+  Platform.silenceWaitingWatches();
+  const auto SilentAt = base::boot_clock::now();
+  Platform.put("op/config", configuration(5, "stock"));
+  std::string Answer;
+  CHECK_TRUE(test_support::waitUntil(
+      [&] {
+        askRoute(Entries[0].Front, "b" + std::to_string(++NextId), "GET",
+                 "/safe/x", Answer);
+        return Platform.runsAt("s1") > 0;
+      },
+      4s));
+  CHECK_TRUE(base::boot_clock::now() - SilentAt < 2500ms);
+}
+
 // Guards against a planned stop that cuts requests or keeps running.
 TEST(system_serve, AStopCutsNoRequest) {
   startEntries(1);
