Decide in one place which configuration is invalid

Callers would see an old configuration for good: one field of another type (sticky as text, a region that is a number, cold_per_s as text) refused the whole version, which the store had accepted. Other documents were put in force although a route could not be served: a service that is not defined (503 for ever), weights that are all 0 or negative, two routes with the same host and prefix, a prefix without slashes, a host that is no text.

routing::validate() decides what is invalid; platform/configuration_document (split from wire) reads the rest with defaults. Rules for what cannot be read: a limit, time, attempt count, sticky or cold rate has its default; an unreadable region is left out, which never allows more, and a list without any readable one is invalid, because it would allow all regions; an unreadable weight is invalid, because any guess breaks the split. An empty route table is valid: the store accepted it, and all paths are unknown then.

A refused document is a ConfigInvalid line with its version, the one in force and each finding with its place. The entry counts as outdated meanwhile, so that it does not say 404, and new gauges show the newest version beside the one in force, and their ages.

Existing tests: DecodesRoutesAndServices named a service that its document did not define; the definition is added. RejectsInvalidConfigurations and ConfigurationVersionNeverDecreases follow the error type.

--- a/include/skylarkdyke/gateway/gateway.hpp
+++ b/include/skylarkdyke/gateway/gateway.hpp
@@ -102,9 +102,15 @@
       FormatDirectoryResponse;
 };
 
-/// The decoded configuration, or all findings if the document is invalid.
+/// \brief A configuration document that is invalid.
+struct refused_configuration {
+  /// Zero if it cannot be read.
+  std::uint64_t Version = 0;
+  base::findings Findings;
+};
+/// The decoded configuration, or why it is invalid.
 using configuration_result =
-    base::result<routing::configuration, base::findings>;
+    base::result<routing::configuration, refused_configuration>;
 /// Decodes a configuration document.
 using configuration_decoder =
     std::function<configuration_result(const std::string &Document)>;
--- a/src/gateway/detail/gauges.cpp
+++ b/src/gateway/detail/gauges.cpp
@@ -10,6 +10,11 @@
       .set(static_cast<double>(Count));
 }
 
+static void setSeconds(metrics::registry &Metrics, const char *Name,
+                       const char *Help, std::chrono::nanoseconds Time) {
+  Metrics.gauge(Name, Help).set(std::chrono::duration<double>(Time).count());
+}
+
 void updateGauges(metrics::registry &Metrics, const gauge_sources &Sources,
                   base::boot_time Now) {
   const auto SetGauge = [&Metrics](const char *Name, const char *Help,
@@ -26,9 +31,18 @@
   SetGauge("skylarkdyke_targets_cold",
            "Targets that tolerate only their cold rate",
            Sources.TargetRegistry.coldCount(Now));
-  const auto Routes = Sources.State.routes();
+  const steering_state &State = Sources.State;
   SetGauge("skylarkdyke_config_version", "Configuration in force",
-           Routes ? Routes->version() : 0);
+           State.version());
+  SetGauge("skylarkdyke_config_newest_version",
+           "Newest configuration known to exist, in the store or elsewhere",
+           State.newestVersion());
+  setSeconds(Metrics, "skylarkdyke_config_age_seconds",
+             "Time since the configuration in force came",
+             State.configurationAge(Now));
+  setSeconds(Metrics, "skylarkdyke_state_age_seconds",
+             "Time since the store is known to have had nothing newer",
+             State.age(Now).value_or(std::chrono::milliseconds(0)));
   SetGauge("skylarkdyke_state_revision", "Store revision that is known here",
            Sources.State.confirmedRevision());
   const store_call_counts &Calls = Sources.StoreCalls;
--- a/src/gateway/detail/steering_state.cpp
+++ b/src/gateway/detail/steering_state.cpp
@@ -24,7 +24,11 @@
 void steering_state::installConfiguration(const std::string &Text) {
   auto Decoded = Decoder(Text);
   if (!Decoded) {
-    SKYLARKDYKE_LOG(ERROR, ConfigInvalid) << base::toString(Decoded.error());
+    const refused_configuration &Refused = Decoded.error();
+    Freshness.noteVersion(Refused.Version);
+    SKYLARKDYKE_LOG(ERROR, ConfigInvalid)
+        << "version=" << Refused.Version << " in_force=" << version() << ' '
+        << base::toString(Refused.Findings);
     return;
   }
   const std::uint64_t Version = Decoded.value().Version;
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -1,22 +1,11 @@
 #include "skylarkdyke/routing/route_table.hpp"
 
+#include "skylarkdyke/routing/validation.hpp"
+
 #include <algorithm>
-#include <cctype>
 
 namespace skylarkdyke::routing {
 
-/// Returns the host name in lower case and without port.
-static std::string normalizedHost(std::string_view Host) {
-  const std::size_t Colon = Host.rfind(':');
-  if (Colon != std::string_view::npos)
-    Host = Host.substr(0, Colon);
-  std::string Name(Host);
-  std::transform(
-      Name.begin(), Name.end(), Name.begin(),
-      [](unsigned char Character) { return std::tolower(Character); });
-  return Name;
-}
-
 static bool startsWith(std::string_view Text, std::string_view Prefix) {
   return Text.substr(0, Prefix.size()) == Prefix;
 }
--- a/tests/unit-gateway-freshness.cpp
+++ b/tests/unit-gateway-freshness.cpp
@@ -1,3 +1,4 @@
+#include "gateway/detail/gauges.hpp"
 #include "gateway/detail/request_rejection.hpp"
 #include "gateway/detail/steering_state.hpp"
 
@@ -124,3 +125,17 @@
   install("9", 8);
   CHECK(!State.mayBeOutdated(Now));
 }
+
+// Guards against an entry that stays behind unnoticed.
+TEST(gateway_freshness, MetricsShowTheNewestVersionBesideTheOneInForce) {
+  install("7", 5);
+  State.noteOtherState({8, 9, std::nullopt});
+  metrics::registry Metrics;
+  gateway::detail::updateGauges(Metrics, {TargetRegistry, State, {}, 1},
+                                Now + 2s);
+  const std::string Text = Metrics.render();
+  for (const char *Line :
+       {"skylarkdyke_config_version 7", "skylarkdyke_config_newest_version 9",
+        "skylarkdyke_config_age_seconds 2", "skylarkdyke_state_age_seconds 2"})
+    STRCMP_CONTAINS(Line, Text.c_str());
+}
--- a/tests/unit-gateway-state.cpp
+++ b/tests/unit-gateway-state.cpp
@@ -26,7 +26,7 @@
 static gateway::configuration_result decode(const std::string &Document) {
   routing::configuration Configuration;
   if (Document == "broken")
-    return base::findings{{"/", "broken"}};
+    return gateway::refused_configuration{99, {{"/", "broken"}}};
   Configuration.Version = std::stoull(Document);
   Configuration.Services.push_back({base::service_name("s"), "/", 1, 3s, 1});
   return Configuration;
@@ -53,6 +53,7 @@
   for (const char *Older : {"5", "broken"})
     State.apply(routing::configuration_published{Older}, 2);
   LONGS_EQUAL(7, State.routes()->version());
+  LONGS_EQUAL(99, State.newestVersion());
   State.apply(routing::configuration_published{"12"}, 3);
   LONGS_EQUAL(12, State.routes()->version());
 }
--- a/tests/unit-platform-wire.cpp
+++ b/tests/unit-platform-wire.cpp
@@ -18,7 +18,8 @@
 ["b","h.example","/b/","safe",1.5,0.6,2,null,3,null,[],
 [{"service":"orders","weight":90},{"service":"stock","weight":10}]]]},
 "services":{"columns":["name","health_path","max_connections","cold_start_s",
-"cold_per_s"],"rows":[["orders","/healthz",360,3.0,3.1]]},
+"cold_per_s"],"rows":[["orders","/healthz",360,3.0,3.1],
+["stock","/healthz",360,3.0,3.1]]},
 "limits":{"max_header_bytes":1000,"max_body_bytes":2000,"header_timeout_s":3,
 "idle_timeout_s":15}})";
 
@@ -93,8 +94,8 @@
   const auto Decoded = platform::decodeConfiguration(
       R"({"version":"2","routes":{"columns":["name"],"rows":[["a"]]}})");
   CHECK(!Decoded);
-  CHECK(Decoded.error().size() >= 3);
-  STRCMP_EQUAL("/version", Decoded.error().at(0).Location.c_str());
+  CHECK(Decoded.error().Findings.size() >= 3);
+  STRCMP_EQUAL("/version", Decoded.error().Findings.at(0).Location.c_str());
 }
 
 // Guards against records of other writers that are decoded as usable targets.
