--- a/tests/unit-gateway-state.cpp
+++ b/tests/unit-gateway-state.cpp
@@ -26,7 +26,7 @@
 static gateway::configuration_result decode(const std::string &Document) {
   routing::configuration Configuration;
   if (Document == "broken")
-    return base::findings{{"/", "broken"}};
+    return gateway::refused_configuration{99, {{"/", "broken"}}};
   Configuration.Version = std::stoull(Document);
   Configuration.Services.push_back({base::service_name("s"), "/", 1, 3s, 1});
   return Configuration;
@@ -53,6 +53,7 @@
   for (const char *Older : {"5", "broken"})
     State.apply(routing::configuration_published{Older}, 2);
   LONGS_EQUAL(7, State.routes()->version());
+  LONGS_EQUAL(99, State.newestVersion());
   State.apply(routing::configuration_published{"12"}, 3);
   LONGS_EQUAL(12, State.routes()->version());
 }
@@ -158,6 +159,20 @@
   CHECK(!Other.adoptState(State.encodeStateAfter(2)));
 }
 
+// Guards against 404 for all routes after a listing, or a state of another
+// entry, without the configuration.
+TEST(gateway_state, AStateWithoutAConfigurationKeepsTheOneInForce) {
+  State.apply(routing::configuration_published{"7"}, 1);
+  State.replaceAll({routing::target_published{makeTarget("a")}}, 5, 9);
+  LONGS_EQUAL(7, State.routes()->version());
+  placement::target_registry OtherRegistry{{{Domain, base::region_name("r")}}};
+  steering_state Other{OtherRegistry, decode, 2s, [this] { return Now; }};
+  Other.replaceAll({routing::target_published{makeTarget("a")}}, 5, 12);
+  CHECK(!Other.isComplete());
+  CHECK(State.adoptState(Other.encodeSnapshot()));
+  LONGS_EQUAL(7, State.routes()->version());
+}
+
 // Guards against changes that are lost between two entries because the log of
 // changes is bounded.
 TEST(gateway_state, SendsTheWholeStateToAnEntryThatIsFarBehind) {
