Test responses that break off at each of their bytes

A target that stops in its response's header and closes was reported to reach callers as a success with an empty body. It cannot happen here, on either engine: Boost.Beast reports a close within the header, a body with a length or a chunked one as partial_message, and both clients take that for a fault.

http_cut_responses cuts responses with a length, with chunks, with an interim response before, to HEAD, and without a length at each byte, with a close and a reset, for http_channel and http::connection. system_serve_faults. AResponseThatBreaksOffIsNoSuccess does so with the process: the caller gets 502.

The scripted target sends at once now: with Nagle's algorithm its second write waited for an acknowledgement, so that a copy before the next request's bytes arrived after them.

--- a/tests/support/scripted_target.cpp
+++ b/tests/support/scripted_target.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <map>
 #include <mutex>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -110,6 +111,8 @@
     const int Socket = ::accept(Listener, nullptr, nullptr);
     if (Socket < 0)
       return;
+    const int One = 1;
+    setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &One, sizeof(One));
     const std::lock_guard<std::mutex> Lock(Mutex);
     Sockets.push_back(Socket);
     Threads.emplace_back([this, Socket] { serve(Socket); });
--- a/tests/system-serve-faults.cpp
+++ b/tests/system-serve-faults.cpp
@@ -166,3 +166,61 @@
                      Copy.name().c_str());
   }
 }
+
+namespace {
+
+/// A response of a target that ends within Start, with a close or a reset.
+struct cut_response {
+  const char *Name;
+  const char *Start;
+  bool Reset;
+};
+
+} // namespace
+
+static constexpr const char *SignedStart =
+    "HTTP/1.1 200 OK\r\nSkylarkdyke-Response-Signature: signed\r\n";
+
+static std::vector<cut_response> cutResponses() {
+  std::vector<cut_response> Responses;
+  for (const bool Reset : {false, true})
+    for (const auto &[Name, Start] :
+         std::vector<std::pair<const char *, const char *>>{
+             {"status line", ""},
+             {"header name", "Content-Le"},
+             {"length value", "Content-Length: 1"},
+             {"before the blank line", "Content-Length: 12\r\n"},
+             {"within the blank line", "Content-Length: 12\r\n\r"},
+             {"no body", "Content-Length: 12\r\n\r\n"},
+             {"half a body", "Content-Length: 12\r\n\r\nhalf"},
+             {"no chunk", "Transfer-Encoding: chunked\r\n\r\n"},
+             {"no last chunk", "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf"
+                               "\r\n"}})
+      Responses.push_back({Name, Start, Reset});
+  Responses.push_back({"no length, reset", "\r\nhalf", true});
+  return Responses;
+}
+
+// Guards against a response that its target has not finished and that reaches
+// the caller as a success, or as a promise that nothing has run.
+TEST(system_serve_faults, AResponseThatBreaksOffIsNoSuccess) {
+  start();
+  for (const cut_response &Cut : cutResponses()) {
+    const scripted_target Target([&Cut](const scripted_request &Request) {
+      if (Request.path() != "/once/cut")
+        return Request.send(success(Request));
+      Request.send(std::string("HTTP/1.1 100 Continue\r\n\r\n") + SignedStart +
+                   idLine(Request.requestId()) + Cut.Start);
+      if (Cut.Reset)
+        Request.reset();
+      else
+        Request.close();
+    });
+    useOnly(Target);
+    const std::string Name = std::string(Cut.Name) + (Cut.Reset ? " r" : " c");
+    const std::string Response = ask("POST", "/once/cut", "cut");
+    LONGS_EQUAL_TEXT(1, Target.received("/once/cut"), Name.c_str());
+    STRCMP_EQUAL_TEXT("502", statusOf(Response).c_str(), Name.c_str());
+    CHECK_TEXT(Response.find("signed") == std::string::npos, Name.c_str());
+  }
+}
--- /dev/null
+++ b/tests/unit-http-cut-responses.cpp
@@ -0,0 +1,132 @@
+#include "skylarkdyke/http/client.hpp"
+#include "skylarkdyke/net/http_channel.hpp"
+#include "support/scripted_target.hpp"
+
+#include <mutex>
+#include <optional>
+#include <vector>
+
+// Last, because it redefines "new".
+#include <CppUTest/TestHarness.h>
+
+using namespace skylarkdyke;
+using namespace std::chrono_literals;
+using test_support::scripted_request;
+
+namespace {
+
+/// What a target sends before it ends the connection.
+struct cut_script {
+  std::string Bytes;
+  bool Reset = false;
+};
+
+/// A complete response, and the size of the shortest prefix that is complete
+/// if the connection is closed behind it.
+struct whole_response {
+  const char *Name;
+  const char *Method;
+  std::string Bytes;
+  std::size_t CompleteSize;
+};
+
+} // namespace
+
+static std::vector<whole_response> wholeResponses() {
+  const std::string Status = "HTTP/1.1 200 OK\r\nX-Signature: signed\r\n";
+  const std::string Length = Status + "Content-Length: 12\r\n\r\n";
+  const std::string Body = "twelve bytes";
+  const std::string Chunked = Status + "Transfer-Encoding: chunked\r\n\r\n" +
+                              "6\r\ntwelve\r\n6\r\n bytes\r\n0\r\n\r\n";
+  const std::string Interim = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
+  std::vector<whole_response> Responses = {
+      {"length", "GET", Length + Body, Length.size() + Body.size()},
+      {"chunked", "GET", Chunked, Chunked.size()},
+      {"interim", "GET", Interim + Length + Body,
+       Interim.size() + Length.size() + Body.size()},
+      {"head", "HEAD", Length, Length.size()},
+      // The end of the connection is the end of the body.
+      {"close", "GET", Status + "\r\n" + Body, Status.size() + 2},
+  };
+  return Responses;
+}
+
+TEST_GROUP(http_cut_responses) {
+  std::mutex Mutex;
+  cut_script Script;
+  test_support::scripted_target Target{
+      [this](const scripted_request &Request) { respond(Request); }};
+  net::response_memory Memory{4U << 20U};
+  boost::asio::io_context Loop;
+
+  void respond(const scripted_request &Request) {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Request.send(Script.Bytes);
+    if (Script.Reset)
+      Request.reset();
+    else
+      Request.close();
+  }
+
+  /// Whether the client of the platform's engine takes the response for whole.
+  bool isWholeToChannel(const std::string &Method) {
+    const auto Channel =
+        net::http_channel::create(Loop, Target.address(), Memory);
+    std::optional<net::call_result> Result;
+    net::http_request Request;
+    Request.method_string(Method);
+    Request.target("/");
+    const auto Deadline = base::boot_clock::now() + 5s;
+    Channel->call(
+        std::move(Request), {Deadline, Deadline},
+        [](const net::http_response &) { return true; },
+        [&Result](net::call_result CallResult) {
+          Result.emplace(std::move(CallResult));
+        });
+    Loop.restart();
+    while (!Result && Loop.run_one_for(5s) != 0) {
+    }
+    Channel->close();
+    Loop.restart();
+    Loop.poll();
+    CHECK_TRUE(Result.has_value());
+    return Result->has_value();
+  }
+
+  /// The same for the client of the other engine.
+  bool isWholeToClient(const std::string &Method) const {
+    http::request Request;
+    Request.Method = Method;
+    return http::fetch(Target.address(), Request,
+                       {base::boot_clock::now() + 5s, 1U << 16U})
+        .has_value();
+  }
+
+  void check(const whole_response &Response, std::size_t Size, bool Reset,
+             bool IsWhole) {
+    {
+      const std::lock_guard<std::mutex> Lock(Mutex);
+      Script = {Response.Bytes.substr(0, Size), Reset};
+    }
+    const std::string Text = std::string(Response.Name) + " cut at " +
+                             std::to_string(Size) + (Reset ? " reset" : "");
+    CHECK_EQUAL_TEXT(IsWhole, isWholeToChannel(Response.Method), Text.c_str());
+    CHECK_EQUAL_TEXT(IsWhole, isWholeToClient(Response.Method), Text.c_str());
+  }
+};
+
+// Guards against a response that its sender did not finish and that is taken
+// for a whole one, with an empty or short body: cut at each byte.
+TEST(http_cut_responses, ACloseWithinAResponseIsAFault) {
+  for (const whole_response &Response : wholeResponses())
+    for (std::size_t Size = 0; Size <= Response.Bytes.size(); ++Size)
+      check(Response, Size, false, Size >= Response.CompleteSize);
+}
+
+// Guards against a body that the end of its connection delimits and that is
+// taken for whole after a reset.
+TEST(http_cut_responses, AResetWithinAResponseIsAFault) {
+  for (const whole_response &Response : wholeResponses())
+    for (std::size_t Size = 0; Size < Response.Bytes.size(); ++Size)
+      check(Response, Size, true, false);
+}
