--- a/tests/support/steady_callers.cpp
+++ b/tests/support/steady_callers.cpp
@@ -57,8 +57,10 @@
   }
 }
 
-steady_callers::steady_callers(endpoint Front, int Count, std::string IdPrefix)
-    : Front(std::move(Front)), IdPrefix(std::move(IdPrefix)) {
+steady_callers::steady_callers(endpoint Front, int Count, std::string IdPrefix,
+                               request_maker MakeRequest)
+    : Front(std::move(Front)), IdPrefix(std::move(IdPrefix)),
+      MakeRequest(std::move(MakeRequest)) {
   for (int Caller = 0; Caller < Count; ++Caller)
     Threads.emplace_back([this, Caller] { run(Caller); });
 }
@@ -85,9 +87,7 @@
     }
     const std::string Id =
         IdPrefix + "-" + std::to_string(Caller) + "-" + std::to_string(Number);
-    sendBytes(Socket, "POST /once/x HTTP/1.1\r\nHost: h.example\r\n"
-                      "Content-Length: 0\r\nSkylarkdyke-Request-Id: " +
-                          Id + "\r\n\r\n");
+    sendBytes(Socket, MakeRequest(Id));
     const caller_result Result = readResponse(Socket, Buffer);
     {
       const std::lock_guard<std::mutex> Lock(Mutex);
--- a/tests/support/steady_callers.hpp
+++ b/tests/support/steady_callers.hpp
@@ -4,6 +4,7 @@
 #include "skylarkdyke/base/endpoint.hpp"
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -39,13 +40,16 @@
 /// \brief Sends all bytes. \return false if the connection has ended
 bool sendBytes(int Socket, const std::string &Bytes);
 
-/// \brief Callers that send requests to /once/ of one entry without a pause
-/// until it ends, half of them on kept connections. An open connection is used
-/// until a response or a close ends it.
+/// \brief Callers that send requests to one entry without a pause, half of them
+/// on kept connections. An open connection is used until a response or a close
+/// ends it.
 class steady_callers {
 public:
+  /// \brief Bytes of the request with an id.
+  using request_maker = std::function<std::string(const std::string &Id)>;
+
   steady_callers(skylarkdyke::base::endpoint Front, int Count,
-                 std::string IdPrefix);
+                 std::string IdPrefix, request_maker MakeRequest);
   ~steady_callers();
   steady_callers(const steady_callers &) = delete;
   steady_callers &operator=(const steady_callers &) = delete;
@@ -63,6 +67,7 @@
 
   skylarkdyke::base::endpoint Front;
   std::string IdPrefix;
+  request_maker MakeRequest;
   std::atomic<bool> Stopped{false};
   std::mutex Mutex;
   std::map<std::string, caller_result> Results;
--- a/tests/system-serve-stop.cpp
+++ b/tests/system-serve-stop.cpp
@@ -28,6 +28,10 @@
          "\r\n\r\n";
 }
 
+static std::string onceRequest(const std::string &Id) {
+  return requestHead(Id, 0);
+}
+
 namespace {
 
 /// A connection that is open before the stop, and a request on it whose end
@@ -106,7 +110,7 @@
     const std::size_t Forms = Requests.size() / Tenths;
     sendStarts(Entry, Requests);
     // The entry has read these once it answers callers that came later.
-    steady_callers Callers(Entry.front(), 2, "load");
+    steady_callers Callers(Entry.front(), 2, "load", onceRequest);
     std::this_thread::sleep_for(100ms);
     const auto StopAt = steady::now();
     Entry.program().signal(SIGTERM);
@@ -207,7 +211,7 @@
     for (int I = 0; I < 5; ++I)
       Callers.push_back(std::make_unique<steady_callers>(
           startEntry().front(), 4,
-          std::to_string(Round) + "-" + std::to_string(I)));
+          std::to_string(Round) + "-" + std::to_string(I), onceRequest));
     std::this_thread::sleep_for(200ms);
     for (const auto &Entry : Entries)
       Entry->program().signal(SIGTERM);
