Check again that a GET meets the flood of its target

The check that AnswerTooLarge is counted was taken out with the suspicion that a hedged request may end the flood first. The run engine does not hedge: a GET goes to another target only after its attempt has failed, and the fault is counted before that. What had failed was that the chooser could prefer the other target for all requests, which the test has excluded since.

--- a/tests/unit-callers-outcomes.cpp
+++ b/tests/unit-callers-outcomes.cpp
@@ -268,7 +268,10 @@
       CHECK_EQUAL_TEXT(200, FirstStatus, emulators::toString(Form));
       CHECK_EQUAL_TEXT(200, SecondStatus, emulators::toString(Form));
     }
-    CHECK_TRUE_TEXT(Targets.Targets[0]->journal().size() > RunsBefore,
-                    emulators::toString(Form));
+    const std::size_t Floods =
+        Targets.Targets[0]->journal().size() - RunsBefore;
+    CHECK_TRUE_TEXT(Floods > 0, emulators::toString(Form));
+    CHECK_EQUAL_TEXT(Floods, count(counter::AnswerTooLarge),
+                     emulators::toString(Form));
   }
 }
