Use busy targets last while they may be cold unnoticed

Cause: the evacuation starts and ends while the store is silent for all entries (22.5 to 29.3 s; revision 231 or 232 everywhere). No entry learns of either, so that its targets keep the load of warm ones and have it when they become cold at 28.5 s.

Fix: while no relay of the region reaches the store, a target whose load exceeds 3 times its cold rate times its processing time is used last among those of the home region. The load that targets report is known to all entries that use them, also while they cannot reach each other. Nothing is refused for it.

--- a/include/skylarkdyke/placement/placer.hpp
+++ b/include/skylarkdyke/placement/placer.hpp
@@ -120,6 +120,13 @@
   }
   const cold_rate_share &coldRateShares() const { return ColdRateShare; }
 
+  /// \brief Sets whether targets may have become cold without this entry's
+  /// knowledge, because the store is unreachable: an evacuation may have
+  /// started and ended meanwhile. A target whose load shows that it gets more
+  /// than a small multiple of its cold rate is then used only if all others do,
+  /// too.
+  void setColdStateUnknown(bool Unknown) { ColdStateUnknown = Unknown; }
+
   /// \brief Sets the demand: requests per second from the callers of each
   /// region.
   void setDemand(const base::service_name &Service,
@@ -146,6 +153,7 @@
 
 private:
   struct candidate;
+  struct candidate_groups;
   /// Distribution of the objects of a route over the regions.
   struct route_shares {
     rate_limited_shares Shares;
@@ -166,6 +174,8 @@
                          base::boot_time Now) const;
   double coldRateShare(const target_state &State,
                        const routing::service &Service) const;
+  bool isBusyForCold(const candidate &Candidate, const placement_query &Query,
+                     const processing_time_estimate &Estimate) const;
   const candidate *unusedTarget(const std::vector<candidate> &Candidates,
                                 const placement_query &Query,
                                 base::boot_time Now) const;
@@ -176,6 +186,7 @@
   target_registry &Registry;
   base::region_name OwnRegion;
   cold_rate_share ColdRateShare;
+  bool ColdStateUnknown = false;
   processing_time_model ProcessingTimes;
   admission::admission_controller Admission;
   std::unordered_map<base::service_name, std::map<base::region_name, double>>
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -34,6 +34,9 @@
 /// applies if this entry's share is 0 because the target's region has entries
 /// of its own.
 static constexpr double MinColdRate = 0.1;
+/// Rate of requests that a target may get while it may be cold unnoticed, as a
+/// multiple of its cold rate. Most targets are warm then.
+static constexpr double UnknownColdFactor = 3;
 /// Age from which a target that joined and is still unused gets a request
 /// regardless of its cost. The delay gives the target time to settle.
 static constexpr milliseconds FirstUseDelay{1500};
@@ -59,6 +62,20 @@
   nanoseconds Cost{0};
 };
 
+/// The best candidates by how far they may be used.
+struct placer::candidate_groups {
+  const candidate *Best = nullptr;
+  /// The least loaded of those that get too many requests for a cold target.
+  const candidate *LeastLoaded = nullptr;
+  const candidate *BestEjected = nullptr;
+
+  const candidate *first() const {
+    if (Best != nullptr)
+      return Best;
+    return LeastLoaded != nullptr ? LeastLoaded : BestEjected;
+  }
+};
+
 std::uint64_t hashObject(const std::string &RouteName, std::string_view Key) {
   return XXH3_64bits_withSeed(Key.data(), Key.size(),
                               XXH3_64bits(RouteName.data(), RouteName.size()));
@@ -276,6 +293,22 @@
         (WarmingCostFactor * Candidate.Load / Slots));
 }
 
+/// Returns whether the load of a target that may be cold unnoticed shows that
+/// it gets too many requests: by Little's law the load is the rate times the
+/// processing time.
+bool placer::isBusyForCold(const candidate &Candidate,
+                           const placement_query &Query,
+                           const processing_time_estimate &Estimate) const {
+  if (!ColdStateUnknown || Query.Service->ColdRequestsPerSecond <= 0)
+    return false;
+  const std::chrono::duration<double> ProcessingTime =
+      Estimate.expected(FirstRankWarmProbability) *
+      Candidate.State->LatencyRatio;
+  return Candidate.Load > UnknownColdFactor *
+                              Query.Service->ColdRequestsPerSecond *
+                              ProcessingTime.count();
+}
+
 bool placer::hasCapacity(const candidate &Best, const placement_query &Query,
                          base::boot_time Now) {
   if (Best.Load >= MaxLoadPerSlot * Best.State->Target.Slots)
@@ -302,8 +335,7 @@
   if (Candidates.empty())
     return no_target{no_target_reason::NoTarget, MinRetryAfter};
   const auto Estimate = ProcessingTimes.estimate(*Query.Route);
-  const candidate *Best = nullptr;
-  const candidate *BestEjected = nullptr;
+  candidate_groups Groups;
   base::boot_time NextColdSend = base::boot_time::max();
   for (std::size_t Rank = 0; Rank < Candidates.size(); ++Rank) {
     candidate &Candidate = Candidates[Rank];
@@ -318,12 +350,17 @@
     }
     score(Candidate, Rank, Query, Estimate, Now);
     const bool Ejected = State.EjectedUntil > Now || State.ProbeInFlight;
-    const candidate *&BestOfGroup = Ejected ? BestEjected : Best;
+    if (!Ejected && isBusyForCold(Candidate, Query, Estimate)) {
+      if (Groups.LeastLoaded == nullptr ||
+          Candidate.Load < Groups.LeastLoaded->Load)
+        Groups.LeastLoaded = &Candidate;
+      continue;
+    }
+    const candidate *&BestOfGroup = Ejected ? Groups.BestEjected : Groups.Best;
     if (BestOfGroup == nullptr || Candidate.Cost < BestOfGroup->Cost)
       BestOfGroup = &Candidate;
   }
-  if (Best == nullptr)
-    Best = BestEjected;
+  const candidate *Best = Groups.first();
   if (Best == nullptr)
     return no_target{
         no_target_reason::ColdLimit,
