Ask before a request is sent on a new connection

A target may leave or ask for a pause while an entry opens a connection to it. The request was then sent although the entry knew better: a connect takes up to 600 ms.

call_limits::MaySend is asked once a new connection is open, before the first byte. If it denies, the call ends with the fault withdrawn, and nothing was sent. The stand-in peer of the tests no longer answers a request that it has not received.

Evidence: without the check, net_channel.AsksBeforeItSendsOnANewConnection fails with "CHECK(!Result->has_value()) failed".

--- a/include/skylarkdyke/net/http_channel.hpp
+++ b/include/skylarkdyke/net/http_channel.hpp
@@ -42,6 +42,8 @@
   DeadlinePassed,
   /// The caller cancelled the call with cancel() or close().
   Cancelled,
+  /// The connection was opened, but call_limits::MaySend denied the request.
+  Withdrawn,
 };
 
 /// \brief Returns the snake-case name of a fault for logs and metrics.
@@ -57,11 +59,14 @@
 
 using call_result = base::result<http_response, channel_error>;
 
-/// \brief Time limits of one call.
+/// \brief Limits of one call.
 struct call_limits {
   /// A new connection must be established by this time.
   base::boot_time ConnectDeadline;
   base::boot_time Deadline;
+  /// Asked once a new connection is open, before the request is sent; no check
+  /// if empty.
+  std::function<bool()> MaySend = {};
 };
 
 /// \brief Asynchronous HTTP/1.1 client connection to one peer.
--- a/src/net/http_channel.cpp
+++ b/src/net/http_channel.cpp
@@ -59,6 +59,8 @@
     return "deadline_passed";
   case channel_fault::Cancelled:
     return "cancelled";
+  case channel_fault::Withdrawn:
+    return "withdrawn";
   }
   return "unknown_fault";
 }
@@ -213,6 +215,8 @@
           return;
         if (Result)
           return fail(channel_fault::ConnectRefused);
+        if (Limits.MaySend && !Limits.MaySend())
+          return fail(channel_fault::Withdrawn);
         Open = true;
         ConnectTime = base::boot_clock::now() - Started;
         error_code Ignored;
--- a/tests/unit-net-channel.cpp
+++ b/tests/unit-net-channel.cpp
@@ -41,6 +41,8 @@
   boost::asio::steady_timer FloodTimer{Loop};
   boost::asio::steady_timer DelayTimer{Loop};
   std::chrono::nanoseconds LongestDelay{0};
+  /// Whether a request may be sent once the connection is open.
+  bool MaySend = true;
 
   void teardown() override {
     FloodTimer.cancel();
@@ -66,7 +68,8 @@
     net::http_request Request(boost::beast::http::verb::get, "/", 11);
     Request.set("Host", "h");
     Channel->call(
-        std::move(Request), {Now + Timeout, Now + Timeout},
+        std::move(Request),
+        {Now + Timeout, Now + Timeout, [this] { return MaySend; }},
         [](const net::http_response &Response) {
           return Response["X-Id"].empty() || Response["X-Id"] == "mine";
         },
@@ -82,7 +85,9 @@
   void answer(const std::string &Bytes, connection_end End) {
     boost::asio::async_read_until(
         Accepted, Received, "\r\n\r\n",
-        [this, Bytes, End](auto, std::size_t Size) {
+        [this, Bytes, End](auto Failure, std::size_t Size) {
+          if (Failure)
+            return;
           Received.consume(Size);
           boost::asio::write(Accepted, boost::asio::buffer(Bytes));
           if (End == connection_end::Reset)
@@ -359,3 +364,16 @@
   STRCMP_EQUAL("flood3", Ended.front().c_str());
   CHECK(std::count(Ended.begin(), Ended.end(), "small") == 0);
 }
+
+// Guards against a request that is sent to a target which has left while the
+// connection to it was opened.
+TEST(net_channel, AsksBeforeItSendsOnANewConnection) {
+  MaySend = false;
+  call("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", connection_end::Keep);
+  CHECK(!Result->has_value());
+  CHECK(Result->error().Fault == channel_fault::Withdrawn);
+  CHECK(Result->error().NothingSent && !Channel->isOpen());
+  Loop.restart();
+  Loop.poll();
+  LONGS_EQUAL(0, Received.size());
+}
