Say which entries are told at once of what an entry has learned

An entry in a large region tells the relays of its region; a relay, and an entry of a small region, tells all entries that it knows there and those to which it reports in other regions. Each relay of a large region passes a notice on once.

membership_fleet.ANoticeReachesEveryEntryOnce checks fleets of 10, 70 and 295 entries from three origins each: all are informed, with fewer than five messages an entry.

--- a/include/skylarkdyke/membership/member_table.hpp
+++ b/include/skylarkdyke/membership/member_table.hpp
@@ -115,6 +115,10 @@
   std::vector<base::endpoint> digestReceivers(base::boot_time Now) const;
   /// \brief Returns the entries of other regions that get a digest.
   std::vector<base::endpoint> remoteDigestReceivers() const;
+  /// \brief Returns the entries that are told at once of what this entry has
+  /// learned: the relays of the own region, or all of it and other regions if
+  /// this entry is a relay or reports to other regions itself.
+  std::vector<base::endpoint> noticeReceivers(base::boot_time Now) const;
   /// \brief Returns the entries of a failure domain that are no relays: the
   /// relay of the domain sends them the changes of the store.
   std::vector<base::endpoint> followersIn(const base::domain_name &Domain,
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -227,6 +227,16 @@
   return {RemoteReceivers.begin(), RemoteReceivers.end()};
 }
 
+std::vector<base::endpoint>
+member_table::noticeReceivers(base::boot_time Now) const {
+  if (!reportsToOtherRegions())
+    return {LocalRelays.begin(), LocalRelays.end()};
+  std::vector<base::endpoint> Receivers = digestReceivers(Now);
+  Receivers.insert(Receivers.end(), RemoteReceivers.begin(),
+                   RemoteReceivers.end());
+  return Receivers;
+}
+
 std::vector<base::endpoint>
 member_table::followersIn(const base::domain_name &Domain,
                           base::boot_time Now) const {
--- a/tests/unit-membership-fleet.cpp
+++ b/tests/unit-membership-fleet.cpp
@@ -1,7 +1,9 @@
 #include "skylarkdyke/membership/member_table.hpp"
 
+#include <algorithm>
 #include <memory>
 #include <random>
+#include <set>
 
 // Last, because it redefines "new".
 #include <CppUTest/TestHarness.h>
@@ -69,6 +71,27 @@
     return Count;
   }
 
+  /// Tells the entries of something that one of them has learned; relays of
+  /// large regions pass it on.
+  /// \return the numbers of entries that know it and of messages sent
+  std::pair<std::size_t, std::size_t> spreadNotice(std::size_t Origin) const {
+    std::set<base::endpoint> Informed{Entries[Origin].Own.MeshAddress};
+    std::vector<const fleet_entry *> Senders{&Entries[Origin]};
+    std::size_t MessageCount = 0;
+    while (!Senders.empty()) {
+      const auto Receivers = Senders.back()->Table->noticeReceivers(Now);
+      Senders.pop_back();
+      MessageCount += Receivers.size();
+      for (const fleet_entry &Entry : Entries)
+        if (std::count(Receivers.begin(), Receivers.end(),
+                       Entry.Own.MeshAddress) != 0 &&
+            Informed.insert(Entry.Own.MeshAddress).second &&
+            Entry.Table->sendsDigests())
+          Senders.push_back(&Entry);
+    }
+    return {Informed.size(), MessageCount};
+  }
+
   base::boot_time Now{1h};
   std::vector<fleet_entry> Entries;
 
@@ -184,6 +207,20 @@
   }
 }
 
+// Guards against entries that never hear that a target leaves, and against
+// messages about it that grow with the square of the fleet.
+TEST(membership_fleet, ANoticeReachesEveryEntryOnce) {
+  for (const std::size_t Size : {10, 70, 295}) {
+    fleet Fleet(Size, 0);
+    Fleet.run(8s);
+    for (const std::size_t Origin : {std::size_t{0}, Size / 2, Size - 1}) {
+      const auto [Informed, MessageCount] = Fleet.spreadNotice(Origin);
+      LONGS_EQUAL(Size, Informed);
+      CHECK(MessageCount < 5 * Size);
+    }
+  }
+}
+
 // Guards against dead entries that stay in the answers of the directory because
 // relays report them to each other again and again, and against entries that
 // are lost together with the relays.
