Keep out of placement what a target declines itself

A target that leaves, or that wants nothing for a while, got requests until its record in the store said draining. The registry now keeps two facts that no record clears.

Leaving: a notice for one incarnation (id, address, start time), with source, time of learning, end of use and expiry. It lies beside the targets, so that it holds when a record is removed and returns, when an older record says ready, and when the notice comes before the record. Another incarnation starts without it. Until the end of use the target gets what no other target can take, so that a service whose targets all leave is still served; after it nothing. Leaving targets go before ejected ones, because they still answer.

Pause: a deadline until which the target gets nothing. Its slots do not count for the shares of the regions, the refusal is no failure, and an earlier, longer pause still holds because the target has asked for it. The entries return spread over 20 ms for each entry that shares the target. If all targets of a request pause, the refusal tells when the first one returns, spread over up to a quarter of that time by the object, so that refused callers do not return at once.

--- a/include/skylarkdyke/placement/placer.hpp
+++ b/include/skylarkdyke/placement/placer.hpp
@@ -46,12 +46,17 @@
   std::chrono::nanoseconds ExpectedWait{0};
   /// Estimated number of requests at the target at the time of the choice.
   double ExpectedLoad = 0;
+  std::int64_t StartedAtMs = 0;
+
+  target_incarnation incarnation() const { return {Id, Address, StartedAtMs}; }
 };
 
 /// \brief Why no target was found.
 enum class no_target_reason {
   /// No target of the service accepts requests.
   NoTarget,
+  /// The targets that would accept requests have asked for a pause.
+  Paused,
   /// The best target is full or would answer too late.
   NoRoom,
   /// The targets are cold, and this entry's share of the request rate that they
@@ -133,6 +138,17 @@
   /// \return the target, or the reason why there is none
   placement_result choose(const placement_query &Query, base::boot_time Now);
 
+  /// \brief Returns the time until the first target that is allowed for a
+  /// request accepts requests; 0 if one accepts them now or if none is known.
+  std::chrono::nanoseconds timeUntilTarget(const placement_query &Query,
+                                           base::boot_time Now) const;
+
+  /// \brief Records that a target wants no requests of this entry until a time.
+  /// This entry waits a little longer, so that not all entries return to the
+  /// target at the same instant.
+  void recordPause(const routing::service &Service,
+                   const target_incarnation &Target, base::boot_time Until);
+
   /// \brief Updates the estimates from an answered request.
   /// \param Latency time from the send to the answer, network included
   void recordAnswer(const placement_query &Query, const chosen_target &Chosen,
@@ -146,6 +162,7 @@
 
 private:
   struct candidate;
+  struct best_candidates;
   /// Distribution of the objects of a route over the regions.
   struct route_shares {
     rate_limited_shares Shares;
@@ -157,7 +174,14 @@
                                base::boot_time Now);
   std::vector<candidate> candidatesFor(const placement_query &Query,
                                        const base::region_name *Region,
-                                       base::boot_time Now) const;
+                                       bool Leaving, base::boot_time Now) const;
+  std::vector<candidate> allCandidates(const placement_query &Query,
+                                       base::boot_time Now);
+  best_candidates findBest(std::vector<candidate> &Candidates,
+                           const placement_query &Query, base::boot_time Now);
+  no_target explainNoCandidate(const placement_query &Query,
+                               base::boot_time Now) const;
+  double entryPhase(const target_state &State) const;
   void score(candidate &Candidate, std::size_t Rank,
              const placement_query &Query,
              const processing_time_estimate &Estimate,
--- a/include/skylarkdyke/placement/target_registry.hpp
+++ b/include/skylarkdyke/placement/target_registry.hpp
@@ -3,6 +3,7 @@
 
 #include "skylarkdyke/admission/sliding_window_counter.hpp"
 #include "skylarkdyke/base/clock.hpp"
+#include "skylarkdyke/placement/leaving_targets.hpp"
 #include "skylarkdyke/routing/route.hpp"
 #include "skylarkdyke/routing/target.hpp"
 
@@ -35,6 +36,11 @@
   ErrorAnswer,
   /// The target refused the request without executing it.
   Refused,
+  /// The target refused the request and asked for a pause.
+  PauseRequested,
+  /// The connection was not open yet when the target left or asked for a pause,
+  /// so that the request was not sent.
+  Withdrawn,
   /// The address belongs to another target.
   WrongTarget,
   /// No connection could be opened.
@@ -95,6 +101,11 @@
   /// The target answered that the address belongs to another target: it gets no
   /// requests until its start time or address changes.
   bool WrongAddress = false;
+  /// Time until which a target that has said that it leaves gets requests, and
+  /// only those that no other target can take; nothing if it has not said so.
+  std::optional<base::boot_time> UsableUntil;
+  /// Time until which the target gets no requests because it asked for a pause.
+  base::boot_time PausedUntil{};
   /// Time from which a removed record is no longer used. It lies in the future
   /// after a store outage, because records that expired in the outage return
   /// soon after it.
@@ -146,6 +157,17 @@
   void endSend(const base::target_id &Id, send_result Result,
                std::chrono::milliseconds ColdTime, base::boot_time Now);
 
+  /// \brief Records that a target leaves. It need not be registered yet, and
+  /// no record of the same incarnation clears the notice.
+  /// \return true if the incarnation was not known to leave
+  bool recordLeaving(const leaving_notice &Notice);
+  /// \return the notices of targets that leave
+  const leaving_targets &leavingTargets() const { return Leaving; }
+
+  /// \brief Records that a target wants no requests until a time. An earlier
+  /// request for a longer pause still holds.
+  void recordPause(const target_incarnation &Target, base::boot_time Until);
+
   /// \brief Records the load that the target reported with an answer.
   void recordReportedLoad(const base::target_id &Id, const reported_load &Load,
                           base::boot_time Now);
@@ -163,8 +185,13 @@
   const std::vector<target_state *> &
   targetsOf(const base::service_name &Service) const;
 
+  /// \brief Whether a target has said in its responses that it wants no
+  /// requests now: it leaves and its time of use has passed, or it pauses.
+  static bool declinesRequests(const target_state &State, base::boot_time Now);
+
   /// \brief Whether new requests may be sent to a target: it is not draining,
-  /// evacuated or removed, and its address is not known to be wrong.
+  /// evacuated or removed, it does not decline requests, and its address is not
+  /// known to be wrong.
   bool acceptsRequests(const target_state &State, base::boot_time Now) const;
 
   /// \return estimated number of requests currently at the target, those of
@@ -175,6 +202,10 @@
   std::size_t size() const { return States.size(); }
   /// \return number of targets that are ejected because of failed sends
   std::size_t ejectedCount(base::boot_time Now) const;
+  /// \return number of registered targets that have said that they leave
+  std::size_t leavingCount() const;
+  /// \return number of targets that get no requests because of a pause
+  std::size_t pausedCount(base::boot_time Now) const;
   /// \return number of cold targets
   std::size_t coldCount(base::boot_time Now) const;
 
@@ -184,11 +215,14 @@
   static void markCold(target_state &State, base::boot_time Until,
                        base::boot_time Now);
   void eject(target_state &State, base::boot_time Now);
+  void updateUsableUntil(target_state &State) const;
+  target_state *findIncarnation(const target_incarnation &Target);
 
   std::map<base::domain_name, base::region_name> RegionOf;
   std::unordered_map<base::target_id, std::unique_ptr<target_state>> States;
   std::unordered_map<base::service_name, std::vector<target_state *>> ByService;
   std::set<base::domain_name> Evacuated;
+  leaving_targets Leaving;
   /// Time at which the first target was added.
   std::optional<base::boot_time> FirstAddedAt;
 };
--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -128,6 +128,8 @@
   switch (Reason) {
   case placement::no_target_reason::NoTarget:
     return "no_target";
+  case placement::no_target_reason::Paused:
+    return "targets_pause";
   case placement::no_target_reason::NoRoom:
     return "no_room";
   case placement::no_target_reason::ColdLimit:
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -46,6 +46,12 @@
 static constexpr double WarmThreshold = 0.5;
 /// Shortest retry delay that is given to a refused caller.
 static constexpr milliseconds MinRetryAfter{50};
+/// Mean interval at which the entries that share a target return to it after a
+/// pause, and the longest time for which an entry waits for the others.
+static constexpr milliseconds ReturnInterval{20};
+static constexpr milliseconds MaxReturnDelay{2000};
+/// Fraction of the rest of a pause over which refused callers return after it.
+static constexpr double CallerReturnSpread = 0.25;
 
 struct placer::candidate {
   target_state *State;
@@ -59,6 +65,16 @@
   nanoseconds Cost{0};
 };
 
+/// The best candidates of the groups, in the order in which the groups are
+/// used.
+struct placer::best_candidates {
+  const candidate *Healthy = nullptr;
+  const candidate *Leaving = nullptr;
+  const candidate *Ejected = nullptr;
+  /// Earliest time at which a cold candidate that was left out may be used.
+  base::boot_time NextColdSend = base::boot_time::max();
+};
+
 std::uint64_t hashObject(const std::string &RouteName, std::string_view Key) {
   return XXH3_64bits_withSeed(Key.data(), Key.size(),
                               XXH3_64bits(RouteName.data(), RouteName.size()));
@@ -130,8 +146,9 @@
       continue;
     region_load &Load = Loads[State->Region];
     // The slots of slow targets count in proportion to their speed, those of
-    // ejected targets not at all.
-    if (Registry.acceptsRequests(*State, Now) && State->EjectedUntil <= Now)
+    // ejected and leaving targets not at all.
+    if (Registry.acceptsRequests(*State, Now) && State->EjectedUntil <= Now &&
+        !State->UsableUntil)
       Load.Slots += State->Target.Slots / std::max(1.0, State->LatencyRatio);
   }
   const auto DemandOfService = Demand.find(Query.Service->Name);
@@ -159,6 +176,44 @@
                          XXH3_64bits(&Query.ObjectHash, sizeof(std::uint64_t)));
 }
 
+/// Returns a number from 0 to 1 that differs between entries, so that they do
+/// not all send to a target at the same time.
+double placer::entryPhase(const target_state &State) const {
+  return std::ldexp(
+      static_cast<double>(XXH3_64bits_withSeed(&State.Seed, sizeof(State.Seed),
+                                               ColdRateShare.EntrySeed) >>
+                          11U),
+      -53);
+}
+
+void placer::recordPause(const routing::service &Service,
+                         const target_incarnation &Target,
+                         base::boot_time Until) {
+  const target_state *State = Registry.find(Target.Id);
+  if (State == nullptr)
+    return;
+  // An entry without a share counts as one of many.
+  const double Share = std::max(coldRateShare(*State, Service), 1e-3);
+  const std::chrono::duration<double, std::milli> Spread =
+      ReturnInterval * (1 / std::min(1.0, Share) - 1);
+  const auto Delay = std::min<std::chrono::duration<double, std::milli>>(
+      Spread, MaxReturnDelay);
+  Registry.recordPause(Target, Until + std::chrono::duration_cast<nanoseconds>(
+                                           Delay * entryPhase(*State)));
+}
+
+nanoseconds placer::timeUntilTarget(const placement_query &Query,
+                                    base::boot_time Now) const {
+  nanoseconds Shortest = nanoseconds::max();
+  for (const target_state *State : Registry.targetsOf(Query.Service->Name)) {
+    const auto From = std::max(Now, State->PausedUntil);
+    if (isAllowed(*Query.Route, State->Region) &&
+        Registry.acceptsRequests(*State, From))
+      Shortest = std::min<nanoseconds>(Shortest, From - Now);
+  }
+  return Shortest == nanoseconds::max() ? nanoseconds(0) : Shortest;
+}
+
 /// Sets the interval between sends to a cold target. The first send of an entry
 /// is delayed by a fraction of that interval, which grows as the entry's share
 /// of the rate shrinks: otherwise all entries would send as soon as they
@@ -174,15 +229,10 @@
   if (State.ColdSendScheduled)
     return;
   State.ColdSendScheduled = true;
-  const double Phase = std::ldexp(
-      static_cast<double>(XXH3_64bits_withSeed(&State.Seed, sizeof(State.Seed),
-                                               ColdRateShare.EntrySeed) >>
-                          11U),
-      -53);
-  State.NextColdSend =
-      std::max(State.NextColdSend,
-               Now + std::chrono::duration_cast<nanoseconds>(
-                         Interval * Phase * std::max(0.0, 1 - Share)));
+  State.NextColdSend = std::max(
+      State.NextColdSend,
+      Now + std::chrono::duration_cast<nanoseconds>(
+                Interval * entryPhase(State) * std::max(0.0, 1 - Share)));
 }
 
 double placer::coldRateShare(const target_state &State,
@@ -211,7 +261,7 @@
     // and this entry's share of its rate is exhausted.
     if (State.Joined && !State.WasUsed && State.Region == OwnRegion &&
         Age > FirstUseDelay && State.EjectedUntil <= Now &&
-        Candidate.CompletionTime != nanoseconds(0))
+        !State.UsableUntil && Candidate.CompletionTime != nanoseconds(0))
       return &Candidate;
   }
   return nullptr;
@@ -219,13 +269,14 @@
 
 std::vector<placer::candidate>
 placer::candidatesFor(const placement_query &Query,
-                      const base::region_name *Region,
+                      const base::region_name *Region, bool Leaving,
                       base::boot_time Now) const {
   std::vector<candidate> Candidates;
   for (target_state *State : Registry.targetsOf(Query.Service->Name)) {
     if (Region != nullptr && State->Region != *Region)
       continue;
     if (!Registry.acceptsRequests(*State, Now) ||
+        State->UsableUntil.has_value() != Leaving ||
         !isAllowed(*Query.Route, State->Region) ||
         std::find(Query.TriedTargets.begin(), Query.TriedTargets.end(),
                   State->Target.Id) != Query.TriedTargets.end())
@@ -293,18 +344,25 @@
                           Now);
 }
 
-placement_result placer::choose(const placement_query &Query,
-                                base::boot_time Now) {
+/// Returns the candidates of the home region, or of all regions if it has none,
+/// and after them the leaving targets of all regions.
+std::vector<placer::candidate>
+placer::allCandidates(const placement_query &Query, base::boot_time Now) {
   const base::region_name HomeRegion = homeRegion(Query, Now);
-  std::vector<candidate> Candidates = candidatesFor(Query, &HomeRegion, Now);
+  std::vector<candidate> Candidates =
+      candidatesFor(Query, &HomeRegion, false, Now);
   if (Candidates.empty())
-    Candidates = candidatesFor(Query, nullptr, Now);
-  if (Candidates.empty())
-    return no_target{no_target_reason::NoTarget, MinRetryAfter};
+    Candidates = candidatesFor(Query, nullptr, false, Now);
+  const auto Leaving = candidatesFor(Query, nullptr, true, Now);
+  Candidates.insert(Candidates.end(), Leaving.begin(), Leaving.end());
+  return Candidates;
+}
+
+placer::best_candidates placer::findBest(std::vector<candidate> &Candidates,
+                                         const placement_query &Query,
+                                         base::boot_time Now) {
   const auto Estimate = ProcessingTimes.estimate(*Query.Route);
-  const candidate *Best = nullptr;
-  const candidate *BestEjected = nullptr;
-  base::boot_time NextColdSend = base::boot_time::max();
+  best_candidates Best;
   for (std::size_t Rank = 0; Rank < Candidates.size(); ++Rank) {
     candidate &Candidate = Candidates[Rank];
     target_state &State = *Candidate.State;
@@ -312,33 +370,67 @@
     if (State.ColdUntil > Now) {
       scheduleColdSends(State, *Query.Service, Now);
       if (State.NextColdSend > Now) {
-        NextColdSend = std::min(NextColdSend, State.NextColdSend);
+        Best.NextColdSend = std::min(Best.NextColdSend, State.NextColdSend);
         continue;
       }
     }
     score(Candidate, Rank, Query, Estimate, Now);
     const bool Ejected = State.EjectedUntil > Now || State.ProbeInFlight;
-    const candidate *&BestOfGroup = Ejected ? BestEjected : Best;
+    const candidate *&BestOfGroup = Ejected             ? Best.Ejected
+                                    : State.UsableUntil ? Best.Leaving
+                                                        : Best.Healthy;
     if (BestOfGroup == nullptr || Candidate.Cost < BestOfGroup->Cost)
       BestOfGroup = &Candidate;
   }
+  return Best;
+}
+
+no_target placer::explainNoCandidate(const placement_query &Query,
+                                     base::boot_time Now) const {
+  const nanoseconds Pause = timeUntilTarget(Query, Now);
+  if (Pause > nanoseconds(0)) {
+    const double Phase =
+        std::ldexp(static_cast<double>(Query.ObjectHash >> 11U), -53);
+    const auto Spread = std::chrono::duration_cast<nanoseconds>(
+        Pause * Phase * CallerReturnSpread);
+    // One more millisecond, because the delay is rounded for the caller.
+    return {
+        no_target_reason::Paused,
+        std::max<nanoseconds>(Pause + Spread + milliseconds(1), MinRetryAfter)};
+  }
+  return {no_target_reason::NoTarget, MinRetryAfter};
+}
+
+placement_result placer::choose(const placement_query &Query,
+                                base::boot_time Now) {
+  std::vector<candidate> Candidates = allCandidates(Query, Now);
+  if (Candidates.empty())
+    return explainNoCandidate(Query, Now);
+  const best_candidates Groups = findBest(Candidates, Query, Now);
+  const candidate *Best = Groups.Healthy;
   if (Best == nullptr)
-    Best = BestEjected;
+    Best = Groups.Leaving != nullptr ? Groups.Leaving : Groups.Ejected;
   if (Best == nullptr)
     return no_target{
         no_target_reason::ColdLimit,
-        std::max<nanoseconds>(NextColdSend - Now, MinColdRetryAfter)};
+        std::max<nanoseconds>(Groups.NextColdSend - Now, MinColdRetryAfter)};
   if (const candidate *UnusedTarget = unusedTarget(Candidates, Query, Now))
     Best = UnusedTarget;
-  if (!hasCapacity(*Best, Query, Now))
-    return no_target{no_target_reason::NoRoom,
-                     std::max<nanoseconds>(Best->Wait / 2, MinRetryAfter)};
+  if (!hasCapacity(*Best, Query, Now)) {
+    const candidate *Leaving = Groups.Leaving;
+    if (Leaving == nullptr || Leaving == Best ||
+        !hasCapacity(*Leaving, Query, Now))
+      return no_target{no_target_reason::NoRoom,
+                       std::max<nanoseconds>(Best->Wait / 2, MinRetryAfter)};
+    Best = Leaving;
+  }
   return chosen_target{Best->State->Target.Id,
                        Best->State->Target.Address,
                        Best->Warm,
                        Best->ProcessingTime,
                        Best->Wait,
-                       Best->Load};
+                       Best->Load,
+                       Best->State->Target.StartedAtMs};
 }
 
 void placer::recordAnswer(const placement_query &Query,
--- a/src/placement/target_registry.cpp
+++ b/src/placement/target_registry.cpp
@@ -60,6 +60,7 @@
   State->Target = Target;
   State->Region = Region->second;
   State->RemovedAt.reset();
+  updateUsableUntil(*State);
   if (Target.RemainingColdTime > milliseconds(0))
     markCold(*State, Now + Target.RemainingColdTime, Now);
   if (!IsIndexed)
@@ -67,6 +68,34 @@
   return true;
 }
 
+void target_registry::updateUsableUntil(target_state &State) const {
+  const leaving_notice *Notice = Leaving.find(incarnationOf(State.Target));
+  if (Notice != nullptr)
+    State.UsableUntil = Notice->UsableUntil;
+}
+
+target_state *
+target_registry::findIncarnation(const target_incarnation &Target) {
+  target_state *State = find(Target.Id);
+  return State != nullptr && State->Target.StartedAtMs == Target.StartedAtMs &&
+                 State->Target.Address == Target.Address
+             ? State
+             : nullptr;
+}
+
+bool target_registry::recordLeaving(const leaving_notice &Notice) {
+  const bool IsNew = Leaving.record(Notice);
+  if (target_state *State = findIncarnation(Notice.Target))
+    updateUsableUntil(*State);
+  return IsNew;
+}
+
+void target_registry::recordPause(const target_incarnation &Target,
+                                  base::boot_time Until) {
+  if (target_state *State = findIncarnation(Target))
+    State->PausedUntil = std::max(State->PausedUntil, Until);
+}
+
 void target_registry::markCold(target_state &State, base::boot_time Until,
                                base::boot_time Now) {
   if (State.ColdUntil <= Now)
@@ -90,14 +119,19 @@
 void target_registry::sweep(base::boot_time Now) {
   for (auto It = States.begin(); It != States.end();) {
     const target_state &State = *It->second;
-    // A removed target is kept while it has requests of this entry in flight.
-    if (State.RemovedAt && *State.RemovedAt <= Now && State.InFlight == 0) {
+    if (State.UsableUntil && !State.RemovedAt)
+      Leaving.keep(incarnationOf(State.Target), Now);
+    // A removed target is kept while it has requests of this entry in flight,
+    // and while it pauses: its record may return.
+    if (State.RemovedAt && *State.RemovedAt <= Now && State.InFlight == 0 &&
+        State.PausedUntil <= Now) {
       removeFromIndex(State);
       It = States.erase(It);
     } else {
       ++It;
     }
   }
+  Leaving.sweep(Now);
 }
 
 static bool precedes(const target_state *Left, const target_state *Right) {
@@ -195,6 +229,8 @@
     }
     return;
   case send_result::Cancelled:
+  case send_result::PauseRequested:
+  case send_result::Withdrawn:
     return;
   case send_result::WrongTarget:
     State->WrongAddress = true;
@@ -251,6 +287,20 @@
       }));
 }
 
+std::size_t target_registry::leavingCount() const {
+  return static_cast<std::size_t>(
+      std::count_if(States.begin(), States.end(), [](const auto &Entry) {
+        return Entry.second->UsableUntil.has_value();
+      }));
+}
+
+std::size_t target_registry::pausedCount(base::boot_time Now) const {
+  return static_cast<std::size_t>(
+      std::count_if(States.begin(), States.end(), [Now](const auto &Entry) {
+        return Entry.second->PausedUntil > Now;
+      }));
+}
+
 std::size_t target_registry::coldCount(base::boot_time Now) const {
   return static_cast<std::size_t>(
       std::count_if(States.begin(), States.end(), [Now](const auto &Entry) {
@@ -258,9 +308,16 @@
       }));
 }
 
+bool target_registry::declinesRequests(const target_state &State,
+                                       base::boot_time Now) {
+  return (State.UsableUntil && *State.UsableUntil <= Now) ||
+         State.PausedUntil > Now;
+}
+
 bool target_registry::acceptsRequests(const target_state &State,
                                       base::boot_time Now) const {
   return !State.Target.Draining && !State.WrongAddress &&
+         !declinesRequests(State, Now) &&
          Evacuated.count(State.Target.Domain) == 0 &&
          (!State.RemovedAt || *State.RemovedAt > Now);
 }
