Heed what a target says of itself in its responses

Callers saw requests sent on to targets that had said in every response that they leave, for as long as their record said ready: with the store away, for good. A target that refused with 503 and Retry-After got the next request at once, and its refusals made it look faulty.

The head of each response that belongs to a request is now read, whatever its status and whether the exchange still waits for it: Server-Leaving, and the Retry-After of a refusal. A 421 comes from another target and says nothing. Late copies and responses to other requests do not reach this place. Values of Retry-After that are no number of seconds are ignored, longer ones than ten minutes shortened, and both are logged.

What is learned of a leaving target goes to the other entries: one datagram for each incarnation, passed on by relays, and again with complete states and with the changes of the next ten seconds. A state that lists the target as ready does not clear the notice. Idle connections to the target are closed, those in use after their response. Requests whose connection is not open yet are checked again; a request that is withdrawn goes to another target without a retry, because nothing was sent. If no other target can take a refused request, its caller gets a Retry-After after which one accepts requests.

The header is read with and without the prefix of all others, because the users write it without.

Evidence, on the code before: system_serve. ATargetThatSaysItLeavesGetsNothingAfterTheBound "expected <1> but was <33>", ServesFromLeavingTargetsOnlyUntilTheBound "expected <1> but was <0>" (no 503), APausingTargetGetsNothingInThePause "expected <1> but was <25>", RefusesAtOnceWhileAllTargetsPause "expected <76> but was <78>". With the reading and the adoption reverted: gateway_state.LeavingTargetsAreToldToOtherEntries "CHECK(UsableUntil("a") == 2s) failed", gateway_outcome. ReadsThePauseOfARefusalOnly and ReadsLeavingFromEveryResponseOfTheTarget, platform_wire.ValidatesSettings.

--- a/include/skylarkdyke/base/event.hpp
+++ b/include/skylarkdyke/base/event.hpp
@@ -59,6 +59,9 @@
   RequestEnded = 505,
   SendFailed = 506,
   ResponseLost = 507,
+  TargetLeaving = 508,
+  TargetPauses = 509,
+  RetryAfterUnusual = 510,
 
   // 600: operators
   OperatorDenied = 600,
--- a/include/skylarkdyke/gateway/gateway.hpp
+++ b/include/skylarkdyke/gateway/gateway.hpp
@@ -46,6 +46,8 @@
   std::chrono::milliseconds MaxDirectoryTtl{5000};
   /// Time from the stop signal until the platform kills the process.
   std::chrono::milliseconds StopGrace{6000};
+  /// Time after which a target that has said that it leaves gets no requests.
+  std::chrono::milliseconds DrainTime{2500};
   /// Time after a store outage within which the discovery records that
   /// expired during the outage are published again.
   std::chrono::milliseconds RecordRecoveryTime{2000};
@@ -74,6 +76,8 @@
   std::string NotExecuted;
   /// Load of the target as "running,waiting,slots".
   std::string Load;
+  /// Names under which a target says, with the value 1, that it leaves.
+  std::vector<std::string> Leaving = {};
 };
 
 /// \brief Query of a caller for the entries that it should use.
--- a/src/gateway/detail/channel_pool.cpp
+++ b/src/gateway/detail/channel_pool.cpp
@@ -40,6 +40,15 @@
     Channel->close();
 }
 
+void channel_pool::closeIdle(const base::target_id &Target) {
+  const auto Found = IdleChannels.find(Target);
+  if (Found == IdleChannels.end())
+    return;
+  for (const auto &Channel : Found->second)
+    Channel->close();
+  IdleChannels.erase(Found);
+}
+
 void channel_pool::sweep(base::boot_time Now) {
   for (auto It = IdleChannels.begin(); It != IdleChannels.end();) {
     auto &Channels = It->second;
--- a/src/gateway/detail/channel_pool.hpp
+++ b/src/gateway/detail/channel_pool.hpp
@@ -45,6 +45,9 @@
                std::shared_ptr<net::http_channel> Channel, std::size_t MaxIdle,
                base::boot_time Now);
 
+  /// \brief Closes the idle connections to a target.
+  void closeIdle(const base::target_id &Target);
+
   /// \brief Closes idle connections that are no longer reusable.
   void sweep(base::boot_time Now);
 
--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -1,5 +1,7 @@
 #include "gateway/detail/exchange.hpp"
 
+#include "gateway/detail/target_signals.hpp"
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -34,6 +36,7 @@
 /// Maximum number of unreachable targets after which another target is still
 /// tried.
 static constexpr unsigned MaxUnreachableTargets = 3;
+
 void exchange::start(steering_context &Context,
                      std::shared_ptr<net::pending_request> Caller) {
   const auto Self = std::make_shared<exchange>(Context, std::move(Caller));
@@ -169,7 +172,7 @@
       std::chrono::duration_cast<milliseconds>(Query.Deadline - Now);
   Channel->call(
       toTargetRequest(Caller->request(), Context.Headers, Chosen.Id, TimeLeft),
-      {Now + ConnectTimeout, Query.Deadline},
+      {Now + ConnectTimeout, Query.Deadline, sendCheck(Chosen)},
       [Headers = Context.Headers,
        RequestId = requestHeader(Context.Headers.RequestId),
        IsFirst = !Channel->isOpen()](const net::http_response &Response) {
@@ -182,6 +185,17 @@
   scheduleHedge(Attempts.back());
 }
 
+/// Returns a check whether a target still wants the request once the connection
+/// to it is open.
+std::function<bool()>
+exchange::sendCheck(const placement::chosen_target &Chosen) const {
+  return [&Registry = Context.TargetRegistry, Id = Chosen.Id] {
+    const placement::target_state *State = Registry.find(Id);
+    return State == nullptr || !placement::target_registry::declinesRequests(
+                                   *State, base::boot_clock::now());
+  };
+}
+
 void exchange::scheduleHedge(const attempt &Attempt) {
   if (Query.Route->Repeatability != routing::repeatability::Idempotent ||
       Attempts.size() >= Query.Route->MaxAttempts)
@@ -204,6 +218,9 @@
   const auto Now = base::boot_clock::now();
   Context.Placer.recordRoundTrip(Attempt.Chosen.Id,
                                  Attempt.Channel->connectTime());
+  if (Result)
+    recordTargetSignals(Context, Attempt.Chosen, *Query.Service,
+                        Result.value());
   send_outcome Outcome = classifyResult(std::move(Result), Context.Headers);
   if (auto *Received = std::get_if<response_received>(&Outcome))
     return onResponse(Index, std::move(*Received));
@@ -227,10 +244,15 @@
 }
 
 void exchange::releaseChannel(const attempt &Attempt, base::boot_time Now) {
-  Context.Pool.release(
-      Attempt.Chosen.Id, Attempt.Channel,
-      idleConnectionLimit(Query.Service->MaxConnections, Context.EntryCount),
-      Now);
+  const placement::target_state *State =
+      Context.TargetRegistry.find(Attempt.Chosen.Id);
+  const bool Leaving = State != nullptr && State->UsableUntil;
+  Context.Pool.release(Attempt.Chosen.Id, Attempt.Channel,
+                       Leaving
+                           ? 0
+                           : idleConnectionLimit(Query.Service->MaxConnections,
+                                                 Context.EntryCount),
+                       Now);
 }
 
 /// Parses the load header of a target, "running,waiting,slots".
@@ -273,9 +295,10 @@
 }
 
 /// Nothing was sent to an unreachable target, so the attempt on the next one
-/// is no retry and does not use the retry allowance.
+/// is no retry and does not use the retry allowance. The same holds for a
+/// target that left while the connection was opened.
 bool exchange::mayTryNextTarget(send_result Result) {
-  if (Result != send_result::Unreachable)
+  if (Result != send_result::Unreachable && Result != send_result::Withdrawn)
     return false;
   ++UnreachableTargets;
   return !hasRunningAttempt() && UnreachableTargets <= MaxUnreachableTargets;
@@ -320,7 +343,9 @@
                             std::nullopt);
   respondWithError(503,
                    LastFailureReason.empty() ? "no_time" : LastFailureReason,
-                   milliseconds(100));
+                   std::max<nanoseconds>(milliseconds(100),
+                                         Context.Placer.timeUntilTarget(
+                                             Query, base::boot_clock::now())));
 }
 
 bool exchange::hasRunningAttempt() const {
--- a/src/gateway/detail/exchange.hpp
+++ b/src/gateway/detail/exchange.hpp
@@ -46,6 +46,8 @@
   /// because the event loop may destroy them after the gateway.
   std::shared_ptr<std::unordered_set<exchange *>> Running =
       std::make_shared<std::unordered_set<exchange *>>();
+  /// Time after which a leaving target gets no requests.
+  std::chrono::milliseconds DrainTime{2500};
 };
 
 /// \brief Handles one request: selects a target, forwards the request,
@@ -83,6 +85,7 @@
   void send(const placement::chosen_target &Chosen);
   void onCallResult(std::size_t Index, net::call_result Result);
   void releaseChannel(const attempt &Attempt, base::boot_time Now);
+  std::function<bool()> sendCheck(const placement::chosen_target &Chosen) const;
   void recordResponse(const attempt &Attempt,
                       const net::http_response &Response);
   void onResponse(std::size_t Index, response_received Outcome);
--- a/src/gateway/detail/gauges.cpp
+++ b/src/gateway/detail/gauges.cpp
@@ -23,6 +23,12 @@
   SetGauge("skylarkdyke_targets_ejected",
            "Targets without work for a while because of failed sends",
            Sources.TargetRegistry.ejectedCount(Now));
+  SetGauge("skylarkdyke_targets_leaving",
+           "Targets that have said in a response that they leave",
+           Sources.TargetRegistry.leavingCount());
+  SetGauge("skylarkdyke_targets_paused",
+           "Targets without work for a while because they asked for it",
+           Sources.TargetRegistry.pausedCount(Now));
   SetGauge("skylarkdyke_targets_cold",
            "Targets that tolerate only their cold rate",
            Sources.TargetRegistry.coldCount(Now));
--- a/src/gateway/detail/mesh_link.cpp
+++ b/src/gateway/detail/mesh_link.cpp
@@ -58,6 +58,9 @@
 bool mesh_link::start() {
   State.setConfirmedCallback(
       [this] { publishChanges(base::boot_clock::now()); });
+  State.setLeavingCallback([this](const placement::leaving_notice &Notice) {
+    publishLeaving(Notice);
+  });
   error_code Failure;
   Socket.open(udp::v4(), Failure);
   if (!Failure)
@@ -212,6 +215,20 @@
     send(Address, Bytes);
 }
 
+/// Tells of a target that leaves, once for each of its incarnations. What was
+/// heard from another entry is passed on by the relays of large regions only.
+/// A datagram that is lost is made up for by the next state or changes.
+void mesh_link::publishLeaving(const placement::leaving_notice &Notice) {
+  if (Notice.Source == placement::leaving_source::Entry &&
+      !Members.sendsDigests())
+    return;
+  const auto Now = base::boot_clock::now();
+  const std::string Bytes = membership::encode(membership::state_update{
+      OwnAddress, encode(leaving_update{{toEncoded(Notice, Now)}})});
+  for (const base::endpoint &Address : Members.noticeReceivers(Now))
+    send(Address, Bytes);
+}
+
 void mesh_link::broadcastHeartbeat(base::boot_time Now) {
   membership::entry_status Status = OwnStatus();
   Status.NextHeartbeatIn = membership::MaxRemoteHeartbeatPeriod;
--- a/src/gateway/detail/mesh_link.hpp
+++ b/src/gateway/detail/mesh_link.hpp
@@ -57,6 +57,7 @@
   void sendHeartbeats(base::boot_time Now);
   void sendDigests(base::boot_time Now);
   void publishChanges(base::boot_time Now);
+  void publishLeaving(const placement::leaving_notice &Notice);
   std::optional<std::string> takeSnapshot(base::boot_time Now);
   void onStateRequest(const std::shared_ptr<net::pending_request> &Request);
   const membership::member_table::member *bestSource(base::boot_time Now) const;
--- a/src/gateway/detail/send_outcome.cpp
+++ b/src/gateway/detail/send_outcome.cpp
@@ -1,5 +1,7 @@
 #include "gateway/detail/send_outcome.hpp"
 
+#include "gateway/detail/target_signals.hpp"
+
 #include <array>
 #include <boost/beast/http/rfc7230.hpp>
 #include <vector>
@@ -49,7 +51,9 @@
   if (Status == 421)
     return not_executed{send_result::WrongTarget, "wrong_target"};
   if (Response.count(Headers.NotExecuted) != 0)
-    return not_executed{send_result::Refused,
+    return not_executed{readTargetSignals(Response, Headers).Pause
+                            ? send_result::PauseRequested
+                            : send_result::Refused,
                         "refused_" + std::to_string(Status)};
   const bool Success = Status >= 200 && Status < 300;
   if (Success && Response.count(Headers.Signature) == 0)
@@ -69,6 +73,8 @@
   const std::string Reason = net::toString(Error.Fault);
   if (Error.Fault == net::channel_fault::Cancelled)
     return unknown_outcome{send_result::Cancelled, Reason};
+  if (Error.Fault == net::channel_fault::Withdrawn)
+    return not_executed{send_result::Withdrawn, Reason};
   if (Error.NothingSent)
     return not_executed{Error.Fault == net::channel_fault::DeadlinePassed
                             ? send_result::TimedOut
--- a/src/gateway/detail/state_codec.cpp
+++ b/src/gateway/detail/state_codec.cpp
@@ -15,6 +15,9 @@
 /// First element of a message.
 static constexpr int SnapshotKind = 0;
 static constexpr int ChangesKind = 1;
+static constexpr int LeavingKind = 2;
+/// Longest time for which another entry may declare a leaving target usable.
+static constexpr milliseconds MaxUsableTime{10000};
 
 /// Second element of a change.
 enum class change_kind : int {
@@ -38,6 +41,37 @@
   return Encoded;
 }
 
+encoded_leaving toEncoded(const placement::leaving_notice &Notice,
+                          base::boot_time Now) {
+  return {Notice.Target, std::chrono::duration_cast<milliseconds>(
+                             std::max(Notice.UsableUntil, Now) - Now)};
+}
+
+static json leavingToJson(const std::vector<encoded_leaving> &Targets) {
+  json Rows = json::array();
+  for (const auto &[Target, UsableFor] : Targets)
+    Rows.push_back({Target.Id.str(), base::toString(Target.Address),
+                    Target.StartedAtMs, UsableFor.count()});
+  return Rows;
+}
+
+static std::vector<encoded_leaving> leavingFromJson(const json &Rows) {
+  std::vector<encoded_leaving> Targets;
+  for (const json &Fields : Rows) {
+    encoded_leaving Leaving;
+    Leaving.Target.Id = base::target_id(Fields.at(0).get<std::string>());
+    Leaving.Target.Address =
+        base::parseEndpoint(Fields.at(1).get<std::string>())
+            .value_or(base::endpoint());
+    Leaving.Target.StartedAtMs = Fields.at(2);
+    Leaving.UsableFor =
+        std::clamp(milliseconds(Fields.at(3).get<std::int64_t>()),
+                   milliseconds(0), MaxUsableTime);
+    Targets.push_back(std::move(Leaving));
+  }
+  return Targets;
+}
+
 static json targetToJson(const routing::target &Target) {
   return {Target.Id.str(),
           Target.Service.str(),
@@ -81,8 +115,8 @@
   for (const base::domain_name &Domain : Snapshot.EvacuatedDomains)
     Evacuated.push_back(Domain.str());
   return toCbor({SnapshotKind, Snapshot.ConfirmedRevision,
-                 Snapshot.ChangeRevision, Snapshot.Document, Targets,
-                 Evacuated});
+                 Snapshot.ChangeRevision, Snapshot.Document, Targets, Evacuated,
+                 leavingToJson(Snapshot.LeavingTargets)});
 }
 
 static json changeToJson(const encoded_change &Encoded) {
@@ -120,7 +154,12 @@
   json Rows = json::array();
   for (const encoded_change &Change : Changes.Changes)
     Rows.push_back(changeToJson(Change));
-  return toCbor({ChangesKind, Changes.After, Changes.ConfirmedRevision, Rows});
+  return toCbor({ChangesKind, Changes.After, Changes.ConfirmedRevision, Rows,
+                 leavingToJson(Changes.LeavingTargets)});
+}
+
+std::string encode(const leaving_update &Update) {
+  return toCbor({LeavingKind, leavingToJson(Update.LeavingTargets)});
 }
 
 static std::optional<encoded_change> changeFromJson(const json &Fields) {
@@ -171,6 +210,9 @@
   }
   for (const json &Domain : Message.at(5))
     Snapshot.EvacuatedDomains.emplace_back(Domain.get<std::string>());
+  // Entries of an earlier version do not send this element.
+  if (Message.size() > 6)
+    Snapshot.LeavingTargets = leavingFromJson(Message.at(6));
   return Snapshot;
 }
 
@@ -181,6 +223,8 @@
   for (const json &Fields : Message.at(3))
     if (auto Change = changeFromJson(Fields))
       Changes.Changes.push_back(std::move(*Change));
+  if (Message.size() > 4)
+    Changes.LeavingTargets = leavingFromJson(Message.at(4));
   return Changes;
 }
 
@@ -195,6 +239,8 @@
       return state_message(snapshotFromJson(Message));
     if (Message.at(0) == ChangesKind)
       return state_message(changesFromJson(Message));
+    if (Message.at(0) == LeavingKind)
+      return state_message(leaving_update{leavingFromJson(Message.at(1))});
     return std::string("unknown kind");
   } catch (const json::exception &Failure) {
     return std::string(Failure.what());
--- a/src/gateway/detail/state_codec.hpp
+++ b/src/gateway/detail/state_codec.hpp
@@ -23,6 +23,13 @@
   std::optional<std::chrono::milliseconds> RemovedIn;
 };
 
+/// \brief A target that leaves, in a message between entries.
+struct encoded_leaving {
+  placement::target_incarnation Target;
+  /// Time for which the target may get requests that no other can take.
+  std::chrono::milliseconds UsableFor{0};
+};
+
 /// \brief The complete steering state of an entry.
 struct state_snapshot {
   std::uint64_t ConfirmedRevision = 0;
@@ -31,6 +38,7 @@
   std::string Document;
   std::vector<encoded_target> Targets;
   std::vector<base::domain_name> EvacuatedDomains;
+  std::vector<encoded_leaving> LeavingTargets;
 };
 
 /// \brief A change in a message between entries.
@@ -45,17 +53,28 @@
   std::uint64_t After = 0;
   std::uint64_t ConfirmedRevision = 0;
   std::vector<encoded_change> Changes;
+  std::vector<encoded_leaving> LeavingTargets;
 };
 
-using state_message = std::variant<state_snapshot, state_changes>;
+/// \brief Targets that an entry has just learned to leave.
+struct leaving_update {
+  std::vector<encoded_leaving> LeavingTargets;
+};
+
+using state_message =
+    std::variant<state_snapshot, state_changes, leaving_update>;
 
 /// \brief Returns a target as it is passed on to other entries.
 encoded_target toEncoded(const placement::target_state &State,
                          base::boot_time Now);
 
+encoded_leaving toEncoded(const placement::leaving_notice &Notice,
+                          base::boot_time Now);
+
 /// \brief Encodes a message as CBOR.
 std::string encode(const state_snapshot &Snapshot);
 std::string encode(const state_changes &Changes);
+std::string encode(const leaving_update &Update);
 
 /// \brief Decodes a message.
 /// \return the message, or the reason why the bytes are not one
--- a/src/gateway/detail/steering_state.cpp
+++ b/src/gateway/detail/steering_state.cpp
@@ -14,6 +14,12 @@
 /// Discovery records do not expire during a store outage of up to this
 /// duration.
 static constexpr milliseconds ToleratedOutage{2500};
+/// Maximum number of leaving targets in a complete state.
+static constexpr std::size_t MaxLeavingInSnapshot = 1024;
+/// Maximum number of leaving targets that are repeated with changes, and time
+/// for which they are: a message of its own tells of each, but may be lost.
+static constexpr std::size_t MaxLeavingInChanges = 8;
+static constexpr milliseconds LeavingRepeatTime{10000};
 
 steering_state::steering_state(placement::target_registry &TargetRegistry,
                                configuration_decoder Decoder,
@@ -156,6 +162,31 @@
   SKYLARKDYKE_LOG(WARNING, StoreUnavailable) << "reason=" << Reason;
 }
 
+bool steering_state::recordLeaving(const placement::leaving_notice &Notice) {
+  if (!TargetRegistry.recordLeaving(Notice))
+    return false;
+  if (OnLeaving)
+    OnLeaving(Notice);
+  return true;
+}
+
+/// \param PassOn whether other entries may not have heard of them
+void steering_state::adoptLeaving(const std::vector<encoded_leaving> &Targets,
+                                  bool PassOn) {
+  const auto Now = Clock();
+  for (const encoded_leaving &Leaving : Targets) {
+    const placement::leaving_notice Notice{Leaving.Target,
+                                           placement::leaving_source::Entry,
+                                           Now, Now + Leaving.UsableFor};
+    const bool IsNew =
+        PassOn ? recordLeaving(Notice) : TargetRegistry.recordLeaving(Notice);
+    if (IsNew)
+      SKYLARKDYKE_LOG(INFO, TargetLeaving)
+          << "target=" << Leaving.Target.Id.str()
+          << " source=entry usable_ms=" << Leaving.UsableFor.count();
+  }
+}
+
 std::string steering_state::encodeSnapshot() const {
   const auto Now = Clock();
   state_snapshot Snapshot;
@@ -167,6 +198,9 @@
   });
   const auto &Evacuated = TargetRegistry.evacuatedDomains();
   Snapshot.EvacuatedDomains.assign(Evacuated.begin(), Evacuated.end());
+  for (const auto &Notice :
+       TargetRegistry.leavingTargets().newest(MaxLeavingInSnapshot))
+    Snapshot.LeavingTargets.push_back(toEncoded(Notice, Now));
   return encode(Snapshot);
 }
 
@@ -186,6 +220,10 @@
             toEncoded(*State, Now).RemovedIn.value_or(milliseconds(0));
     Changes.Changes.push_back(std::move(Encoded));
   }
+  for (const auto &Notice :
+       TargetRegistry.leavingTargets().newest(MaxLeavingInChanges))
+    if (Now - Notice.LearnedAt < LeavingRepeatTime)
+      Changes.LeavingTargets.push_back(toEncoded(Notice, Now));
   return encode(Changes);
 }
 
@@ -228,12 +266,18 @@
   }
   return std::visit(
       overloaded{[this](const state_snapshot &Snapshot) {
+                   adoptLeaving(Snapshot.LeavingTargets, false);
                    if (Snapshot.ConfirmedRevision <= ConfirmedRevision)
                      return false;
                    adopt(Snapshot);
                    return true;
                  },
+                 [this](const leaving_update &Update) {
+                   adoptLeaving(Update.LeavingTargets, true);
+                   return false;
+                 },
                  [this](const state_changes &Changes) {
+                   adoptLeaving(Changes.LeavingTargets, false);
                    if (Changes.After > ConfirmedRevision ||
                        Changes.ConfirmedRevision <= ConfirmedRevision)
                      return false;
--- a/src/gateway/detail/steering_state.hpp
+++ b/src/gateway/detail/steering_state.hpp
@@ -24,6 +24,9 @@
   /// Called with the mesh address of an entry that registered itself in the
   /// store.
   using entry_callback = std::function<void(const base::endpoint &)>;
+  /// Called with a notice that other entries may not have.
+  using leaving_callback =
+      std::function<void(const placement::leaving_notice &)>;
 
   steering_state(placement::target_registry &TargetRegistry,
                  configuration_decoder Decoder,
@@ -38,6 +41,16 @@
     OnConfirmed = std::move(Callback);
   }
 
+  /// \brief Sets a callback for targets that are newly known to leave, from a
+  /// response or a message of its own of another entry.
+  void setLeavingCallback(leaving_callback Callback) {
+    OnLeaving = std::move(Callback);
+  }
+
+  /// \brief Records that a target has said in a response that it leaves.
+  /// \return true if it was not known to leave
+  bool recordLeaving(const placement::leaving_notice &Notice);
+
   void replaceAll(const std::vector<routing::store_change> &Items,
                   std::uint64_t NewestRevision, std::uint64_t AsOf) override;
   void apply(const routing::store_change &Change,
@@ -69,7 +82,7 @@
   std::string encodeStateAfter(std::uint64_t Revision) const;
 
   /// \brief Adopts the state or the changes that another entry encoded, if
-  /// they are newer.
+  /// they are newer. Targets that leave are recorded in any case.
   /// \return false if they are not newer, do not continue the own state or
   /// cannot be decoded
   bool adoptState(const std::string &Bytes);
@@ -84,6 +97,7 @@
   void adopt(const state_snapshot &Snapshot);
   void adopt(const state_changes &Changes);
   void applyChange(const routing::store_change &Change);
+  void adoptLeaving(const std::vector<encoded_leaving> &Targets, bool PassOn);
 
   placement::target_registry &TargetRegistry;
   configuration_decoder Decoder;
@@ -91,6 +105,7 @@
   clock Clock;
   entry_callback OnEntryRegistered;
   std::function<void()> OnConfirmed;
+  leaving_callback OnLeaving;
   std::shared_ptr<const routing::route_table> Routes;
   std::string Document;
   change_log Log;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -178,6 +178,7 @@
 
 bool gateway::impl::start() {
   const auto Now = base::boot_clock::now();
+  Context.DrainTime = Settings.DrainTime;
   State.setEntryCallback([this](const base::endpoint &Mesh) {
     Members.addAddress(Mesh, base::boot_clock::now());
   });
--- a/tests/support/platform_stand_in.cpp
+++ b/tests/support/platform_stand_in.cpp
@@ -64,7 +64,12 @@
   std::chrono::milliseconds Work{0};
   base::endpoint Address;
   bool LosesAnswers = false;
+  bool Leaves = false;
+  /// Retry-After of the refusals; empty while the target refuses nothing.
+  std::string RefusalRetryAfter;
   int Runs = 0;
+  /// Requests that have arrived, refused ones included.
+  int Arrivals = 0;
   std::unique_ptr<net::http_server> Server;
   std::unique_ptr<boost::asio::ip::tcp::acceptor> FloodAcceptor;
   std::string FloodStart;
@@ -99,6 +104,8 @@
   void write(const pending &Request);
   int put(const std::string &Key, const std::string &Value, bool Deleted);
   void handleTarget(stand_in_target &Target, const pending &Request);
+  static void answer(const stand_in_target &Target, const pending &Request,
+                     net::http_response Response);
   void acceptFlood(stand_in_target &Target);
   int publish(stand_in_target &Target, const std::string &State);
 
@@ -234,21 +241,37 @@
   if (Message["Skylarkdyke-Expected-Instance"] != Target.Id)
     return Request->answer(net::makeResponse(421));
   const std::string RequestId(Message["Skylarkdyke-Request-Id"]);
+  ++Target.Arrivals;
+  if (!Target.RefusalRetryAfter.empty()) {
+    auto Refusal = net::makeResponse(503);
+    Refusal.set("Skylarkdyke-Not-Executed", "1");
+    Refusal.set("Retry-After", Target.RefusalRetryAfter);
+    return answer(Target, Request, std::move(Refusal));
+  }
   ++Target.Runs;
   ++Runs[RequestId];
   if (Target.LosesAnswers)
     return Request->abandon();
   const auto Timer =
       std::make_shared<boost::asio::steady_timer>(Loop, Target.Work);
-  Timer->async_wait([Timer, Request, RequestId](auto) {
+  Timer->async_wait([Timer, Request, RequestId, &Target](auto) {
     auto Response = net::makeResponse(200, "answer to " + RequestId);
-    Response.set("Skylarkdyke-Request-Id", RequestId);
     Response.set("Skylarkdyke-Response-Signature", "signed");
     Response.set("Skylarkdyke-Server-Load", "1,0,4");
-    Request->answer(std::move(Response));
+    answer(Target, Request, std::move(Response));
   });
 }
 
+void platform_stand_in::impl::answer(const stand_in_target &Target,
+                                     const pending &Request,
+                                     net::http_response Response) {
+  Response.set("Skylarkdyke-Request-Id",
+               Request->request()["Skylarkdyke-Request-Id"]);
+  if (Target.Leaves)
+    Response.set("Server-Leaving", "1");
+  Request->answer(std::move(Response));
+}
+
 void platform_stand_in::impl::acceptFlood(stand_in_target &Target) {
   const auto Flood = std::make_shared<flood>(Loop, Target.FloodPiece);
   Flood->Start = Target.FloodStart;
@@ -371,6 +394,16 @@
   Impl->onLoop([&] { return Impl->Targets.at(Id)->LosesAnswers = true; });
 }
 
+void platform_stand_in::startLeaving(const std::string &Id) {
+  Impl->onLoop([&] { return Impl->Targets.at(Id)->Leaves = true; });
+}
+
+void platform_stand_in::refuseRequests(const std::string &Id,
+                                       const std::string &RetryAfter) {
+  Impl->onLoop(
+      [&] { return Impl->Targets.at(Id)->RefusalRetryAfter = RetryAfter; });
+}
+
 void platform_stand_in::addUnreachableTarget(const std::string &Id,
                                              const std::string &Service,
                                              const std::string &Zone) {
@@ -397,4 +430,8 @@
   return Impl->onLoop([&] { return Impl->Targets.at(Id)->Runs; });
 }
 
+int platform_stand_in::arrivalsAt(const std::string &Id) const {
+  return Impl->onLoop([&] { return Impl->Targets.at(Id)->Arrivals; });
+}
+
 } // namespace test_support
--- a/tests/support/platform_stand_in.hpp
+++ b/tests/support/platform_stand_in.hpp
@@ -42,6 +42,15 @@
   /// answer, after it has run the request.
   void loseAnswers(const std::string &Id);
 
+  /// \brief From now on the target says in all its responses that it leaves.
+  /// Its record in the store stays as it is.
+  void startLeaving(const std::string &Id);
+
+  /// \brief From now on the target refuses each request without running it.
+  /// \param RetryAfter value of the Retry-After field of the refusals; empty to
+  /// accept requests again
+  void refuseRequests(const std::string &Id, const std::string &RetryAfter);
+
   /// \brief Registers a target that runs each request and then sends Start and
   /// Piece without end in place of an answer.
   void addFloodingTarget(const std::string &Id, const std::string &Service,
@@ -61,6 +70,9 @@
   /// \brief Requests that a target has run.
   int runsAt(const std::string &Id) const;
 
+  /// \brief Requests that have arrived at a target, refused ones included.
+  int arrivalsAt(const std::string &Id) const;
+
 private:
   struct impl;
   std::unique_ptr<impl> Impl;
--- a/tests/system-serve.cpp
+++ b/tests/system-serve.cpp
@@ -48,7 +48,8 @@
        << "\"\ndirectory = \"" << base::toString(Entry.Directory)
        << "\"\n[network.zones]\nz = \"r\"\n[provider.provider]\naddress = \""
        << base::toString(Store)
-       << "\"\n[terms.bounds]\ngrace_s = 4\nretry_budget_ratio = 0.2\n"
+       << "\"\n[terms.bounds]\ngrace_s = 4\ndrain_s = 2.5\nretry_budget_ratio "
+          "= 0.2\n"
        << "retry_slack = 60\n";
   return Text.str();
 }
@@ -384,3 +385,99 @@
   }
   LONGS_EQUAL(200, ask(Entries[0].Readiness, "GET", "/api/readyz"));
 }
+
+/// Sends safe requests one after the other until a time is over.
+/// \return how many of them were answered with each status
+static std::map<int, int> askFor(std::chrono::milliseconds Time,
+                                 const base::endpoint &Front,
+                                 std::atomic<int> &NextId) {
+  std::map<int, int> Statuses;
+  std::string Answer;
+  for (const auto End = base::boot_clock::now() + Time;
+       base::boot_clock::now() < End;)
+    ++Statuses[askRoute(Front, "t" + std::to_string(++NextId), "GET", "/safe/x",
+                        Answer)];
+  return Statuses;
+}
+
+// Guards against requests to a target that has said it leaves, while its record
+// says ready and the store is away; and against an entry that hears it too late
+// from the one that got the response.
+TEST(system_serve, ATargetThatSaysItLeavesGetsNothingAfterTheBound) {
+  startEntries(2);
+  std::this_thread::sleep_for(2s);
+  Platform.turnAllAway();
+  Platform.startLeaving("o1");
+  CHECK_TRUE(test_support::waitUntil(
+      [&] {
+        askFor(1ms, Entries[0].Front, NextId);
+        return Platform.arrivalsAt("o1") > 0;
+      },
+      3s));
+  std::this_thread::sleep_for(2500ms);
+  const int Before = Platform.arrivalsAt("o1");
+  for (const served_entry &Entry : Entries)
+    LONGS_EQUAL(1, askFor(1s, Entry.Front, NextId).count(200));
+  LONGS_EQUAL(Before, Platform.arrivalsAt("o1"));
+}
+
+// Guards against a service that is refused as soon as all its targets leave,
+// and against requests to them after the bound.
+TEST(system_serve, ServesFromLeavingTargetsOnlyUntilTheBound) {
+  startEntries(1);
+  Platform.turnAllAway();
+  for (const char *Id : {"o1", "o2"})
+    Platform.startLeaving(Id);
+  const auto Statuses = askFor(900ms, Entries[0].Front, NextId);
+  LONGS_EQUAL(1, Statuses.size());
+  CHECK_TRUE(Statuses.count(200) == 1);
+  std::this_thread::sleep_for(1800ms);
+  const int Before = Platform.arrivalsAt("o1") + Platform.arrivalsAt("o2");
+  LONGS_EQUAL(1, askFor(1s, Entries[0].Front, NextId).count(503));
+  LONGS_EQUAL(Before, Platform.arrivalsAt("o1") + Platform.arrivalsAt("o2"));
+}
+
+// Guards against requests to a target that has asked for a pause, and against
+// one that gets no requests after it.
+TEST(system_serve, APausingTargetGetsNothingInThePause) {
+  startEntries(1);
+  Platform.refuseRequests("o1", "2.5");
+  CHECK_TRUE(test_support::waitUntil(
+      [&] {
+        askFor(1ms, Entries[0].Front, NextId);
+        return Platform.arrivalsAt("o1") > 0;
+      },
+      3s));
+  const int Before = Platform.arrivalsAt("o1");
+  Platform.refuseRequests("o1", "");
+  const auto Statuses = askFor(1800ms, Entries[0].Front, NextId);
+  LONGS_EQUAL(Before, Platform.arrivalsAt("o1"));
+  LONGS_EQUAL(1, Statuses.size());
+  CHECK_TRUE(test_support::waitUntil(
+      [&] {
+        askFor(1ms, Entries[0].Front, NextId);
+        return Platform.arrivalsAt("o1") > Before;
+      },
+      3s));
+}
+
+// Guards against requests that wait or are sent although all targets pause, and
+// against a Retry-After that ends within the pause.
+TEST(system_serve, RefusesAtOnceWhileAllTargetsPause) {
+  startEntries(1);
+  for (const char *Id : {"o1", "o2"})
+    Platform.refuseRequests(Id, "3");
+  askFor(200ms, Entries[0].Front, NextId);
+  const int Before = Platform.arrivalsAt("o1") + Platform.arrivalsAt("o2");
+  std::string Answer;
+  LONGS_EQUAL(503, askRoute(Entries[0].Front, "p1", "GET", "/safe/x", Answer));
+  LONGS_EQUAL(Before, Platform.arrivalsAt("o1") + Platform.arrivalsAt("o2"));
+  for (const char *Id : {"o1", "o2"})
+    Platform.refuseRequests(Id, "");
+  const std::size_t At = Answer.find("Retry-After: ");
+  CHECK_TRUE(At != std::string::npos);
+  const double Seconds = std::stod(Answer.substr(At + 13));
+  CHECK_TRUE(Seconds > 1 && Seconds <= 3.8);
+  std::this_thread::sleep_for(std::chrono::duration<double>(Seconds));
+  LONGS_EQUAL(200, askRoute(Entries[0].Front, "p2", "GET", "/safe/x", Answer));
+}
--- a/tests/unit-gateway-state.cpp
+++ b/tests/unit-gateway-state.cpp
@@ -2,6 +2,7 @@
 #include "gateway/detail/exchange.hpp"
 #include "gateway/detail/send_outcome.hpp"
 #include "gateway/detail/steering_state.hpp"
+#include "gateway/detail/target_signals.hpp"
 #include "gateway/detail/watch_delay.hpp"
 
 // Last, because it redefines "new".
@@ -211,9 +212,49 @@
   CHECK(acceptsRequests("a"));
 }
 
+// Guards against a leaving target that other entries do not hear of, and
+// against a state that lists it as ready and clears the notice.
+TEST(gateway_state, LeavingTargetsAreToldToOtherEntries) {
+  placement::target_registry OtherRegistry{{{Domain, base::region_name("r")}}};
+  steering_state Other{OtherRegistry, decode, 2s, [this] { return Now; }};
+  const auto UsableUntil = [&](const char *Id) {
+    const auto *Found = OtherRegistry.find(base::target_id(Id));
+    return Found->UsableUntil.value_or(base::boot_time::max()) - Now;
+  };
+  const auto Leave = [&](const char *Id) {
+    return State.recordLeaving({placement::incarnationOf(makeTarget(Id)),
+                                placement::leaving_source::Response, Now,
+                                Now + 2s});
+  };
+  for (const char *Id : {"a", "b", "c"})
+    publish(Id, 1);
+  State.confirmRevision(1);
+  CHECK(Leave("a"));
+  CHECK(!Leave("a"));
+  CHECK(Other.adoptState(State.encodeSnapshot()));
+  CHECK(UsableUntil("a") == 2s);
+  Leave("b");
+  publish("b", 2);
+  State.confirmRevision(2);
+  CHECK(Other.adoptState(State.encodeStateAfter(1)));
+  CHECK(UsableUntil("b") == 2s);
+  int PassedOn = 0;
+  Other.setLeavingCallback([&](const auto &) { ++PassedOn; });
+  const std::string Update = encode(gateway::detail::leaving_update{
+      {{placement::incarnationOf(makeTarget("c")), 500ms}}});
+  CHECK(!Other.adoptState(Update) && !Other.adoptState(Update));
+  CHECK(UsableUntil("c") == 500ms);
+  LONGS_EQUAL(1, PassedOn);
+  placement::target_registry StaleRegistry{{{Domain, base::region_name("r")}}};
+  steering_state Stale{StaleRegistry, decode, 2s, [this] { return Now; }};
+  Stale.replaceAll({routing::target_published{makeTarget("a")}}, 9, 9);
+  CHECK(Other.adoptState(Stale.encodeSnapshot()));
+  CHECK(UsableUntil("a") == 2s);
+}
+
 TEST_GROUP(gateway_outcome) {
-  gateway::header_names Headers{"Id",       "Deadline", "Key", "Signature",
-                                "Expected", "Not-Run",  "Load"};
+  gateway::header_names Headers{"Id",       "Deadline", "Key",  "Signature",
+                                "Expected", "Not-Run",  "Load", {"Leaving"}};
   net::http_response Response{boost::beast::http::status::ok, 11};
 
   template <class Kind> bool is() {
@@ -253,6 +294,50 @@
   CHECK(belongsToRequest(Response, Headers, "current", true));
 }
 
+// Guards against values of a faulty target that stop all requests to it or
+// that are read as a pause, and against a pause that counts as a failure.
+TEST(gateway_outcome, ReadsThePauseOfARefusalOnly) {
+  using gateway::detail::readTargetSignals;
+  Response = {boost::beast::http::status::service_unavailable, 11};
+  Response.set("Retry-After", "1.5");
+  CHECK(!readTargetSignals(Response, Headers).Pause);
+  Response.set("Not-Run", "1");
+  CHECK(readTargetSignals(Response, Headers).Pause == 1500ms);
+  const auto Outcome = gateway::detail::classifyResult(Response, Headers);
+  CHECK(std::get<gateway::detail::not_executed>(Outcome).Result ==
+        placement::send_result::PauseRequested);
+  Response.set("Retry-After", "0");
+  CHECK(!readTargetSignals(Response, Headers).Pause);
+  for (const char *Text : {"-1", "soon", "", ".", "1e9", "0x9", "1.2.3", "inf",
+                           "Fri, 04 Dec 2026 12:00:00 GMT"}) {
+    Response.set("Retry-After", Text);
+    const auto Signals = readTargetSignals(Response, Headers);
+    CHECK(!Signals.Pause && Signals.UnusualRetryAfter == Text);
+  }
+  Response.set("Retry-After", "86400");
+  const auto Signals = readTargetSignals(Response, Headers);
+  CHECK(Signals.Pause == gateway::detail::MaxPause);
+  CHECK(!Signals.UnusualRetryAfter.empty());
+}
+
+// Guards against a leaving target that is missed in some kind of response, and
+// against one that another target at its address reports.
+TEST(gateway_outcome, ReadsLeavingFromEveryResponseOfTheTarget) {
+  using gateway::detail::readTargetSignals;
+  for (const unsigned Status : {200U, 404U, 429U, 500U, 503U}) {
+    Response.result(Status);
+    Response.erase("Leaving");
+    CHECK(!readTargetSignals(Response, Headers).Leaving);
+    Response.set("Leaving", "1");
+    CHECK(readTargetSignals(Response, Headers).Leaving);
+  }
+  Response.set("Leaving", "0");
+  CHECK(!readTargetSignals(Response, Headers).Leaving);
+  Response.set("Leaving", "1");
+  Response.result(421);
+  CHECK(!readTargetSignals(Response, Headers).Leaving);
+}
+
 TEST(gateway_outcome, ClosedConnectionsHaveAnUnknownOutcome) {
   using namespace gateway::detail;
   const auto IsUnknown = [this](net::channel_fault Fault, bool NothingSent) {
@@ -264,6 +349,7 @@
   CHECK(IsUnknown(net::channel_fault::ExcessBytes, false));
   CHECK(IsUnknown(net::channel_fault::MemoryLimit, false));
   CHECK(!IsUnknown(net::channel_fault::ConnectRefused, true));
+  CHECK(!IsUnknown(net::channel_fault::Withdrawn, true));
 }
 
 // Guards against hop-by-hop headers that are forwarded to a target, and
--- a/tests/unit-platform-wire.cpp
+++ b/tests/unit-platform-wire.cpp
@@ -167,10 +167,12 @@
 [terms.bounds]
 retry_budget_ratio = 0.2
 grace_s = 6
+drain_s = 3.5
 )",
                                                     "node.toml");
   CHECK(Settings.has_value());
   CHECK(Settings.value().Gateway.StopGrace == 6s);
+  CHECK(Settings.value().Gateway.DrainTime == 3500ms);
   DOUBLES_EQUAL(0.2, Settings.value().Gateway.ProcessorCores, 1e-9);
   LONGS_EQUAL(160000000, Settings.value().Gateway.MemoryBytes);
   LONGS_EQUAL(7620, Settings.value().Gateway.Metrics->Port);
@@ -184,9 +186,10 @@
 // Guards against names of the wire format of the platform outside its folder.
 TEST(platform_wire, WireNamesOccurOnlyInThePlatformFolder) {
   const std::vector<std::string> WireNames = {
-      "kv-range",     "kv-watch",     "kv-txn",      "op/config",
-      "op/evacuate",  "heartbeat_s",  "api/resolve", "api/readyz",
-      "path_prefix=", "Skylarkdyke-", "cold_per_s",  "allowed_regions"};
+      "kv-range",      "kv-watch",     "kv-txn",      "op/config",
+      "op/evacuate",   "heartbeat_s",  "api/resolve", "api/readyz",
+      "path_prefix=",  "Skylarkdyke-", "cold_per_s",  "allowed_regions",
+      "Server-Leaving"};
   const std::filesystem::path Root = SKYLARKDYKE_SOURCE_DIR;
   for (const char *Folder : {"src", "include"})
     for (const auto &File :
