Test that declining targets add no slots to their region

If the slots of a target that pauses or leaves count for its region, the region keeps requests that it cannot serve. With these slots counted, placement_signals.DecliningTargetsAddNoSlotsToTheirRegion fails with "CHECK(SentSouth > 80 && SentSouth < 100) failed".

--- a/tests/unit-placement-signals.cpp
+++ b/tests/unit-placement-signals.cpp
@@ -16,6 +16,7 @@
 
 static const base::region_name North("north");
 static const base::domain_name NorthA("north-a");
+static const base::domain_name SouthA("south-a");
 static const base::service_name Stock("stock");
 
 static routing::target makeTarget(const std::string &Id,
@@ -39,7 +40,8 @@
 
 /// The placement of one entry.
 struct entry_placement {
-  placement::target_registry Registry{{{NorthA, North}}};
+  placement::target_registry Registry{
+      {{NorthA, North}, {SouthA, base::region_name("south")}}};
   placement::placer Placer{Registry, North};
   routing::route Route;
   routing::service Service;
@@ -176,6 +178,21 @@
   CHECK(!Entry.everChooses("b", Now + 4s));
 }
 
+// Guards against a region that keeps its callers' requests because the slots of
+// targets that pause or leave count as its own.
+TEST(placement_signals, DecliningTargetsAddNoSlotsToTheirRegion) {
+  auto South = makeTarget("s");
+  South.Domain = SouthA;
+  Registry.upsert(South, Now);
+  Registry.recordPause(placement::incarnationOf(makeTarget("a")), Now + 2s);
+  Registry.recordLeaving(leavingNotice(makeTarget("b"), Now));
+  STRCMP_EQUAL("s", Entry.chosenId(1, Now).c_str());
+  int SentSouth = 0;
+  for (std::uint64_t Object = 1; Object <= 100; ++Object)
+    SentSouth += Entry.chosenId(Object, Now + 2s) == "s" ? 1 : 0;
+  CHECK(SentSouth > 80 && SentSouth < 100);
+}
+
 // Guards against any order of responses, records, removals and notices of other
 // entries after which a target gets a request later than its bound.
 TEST(placement_signals, NoPlacementReturnsATargetAfterItsBound) {
