--- a/include/skylarkdyke/base/event.hpp
+++ b/include/skylarkdyke/base/event.hpp
@@ -60,6 +60,9 @@
   SendFailed = 506,
   ResponseLost = 507,
   RequestUnreadable = 508,
+  TargetLeaving = 510,
+  TargetPauses = 511,
+  RetryAfterUnusual = 512,
 
   // 600: operators
   OperatorDenied = 600,
--- a/src/gateway/detail/mesh_link.hpp
+++ b/src/gateway/detail/mesh_link.hpp
@@ -66,6 +66,7 @@
   void sendHeartbeats(base::boot_time Now);
   void sendDigests(base::boot_time Now);
   void publishChanges(base::boot_time Now);
+  void publishLeaving(const placement::leaving_notice &Notice);
   std::optional<std::string> takeSnapshot(base::boot_time Now);
   void onStateRequest(const std::shared_ptr<net::pending_request> &Request);
   std::vector<const member *> entriesAhead(base::boot_time Now) const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -190,6 +190,7 @@
         return detail::respondToUnreadable(Request, State, Protocol.Headers,
                                            Log, base::boot_clock::now());
       });
+  Context.DrainTime = Settings.DrainTime;
   State.setEntryCallback([this](const base::endpoint &Mesh) {
     Members.addAddress(Mesh, base::boot_clock::now());
   });
--- a/tests/support/entry_fleet.cpp
+++ b/tests/support/entry_fleet.cpp
@@ -1,5 +1,7 @@
 #include "support/entry_fleet.hpp"
 
+#include <algorithm>
+
 #include <iterator>
 
 namespace test_support {
@@ -33,6 +35,25 @@
     Entry.Table->addAddress(Entries[Seed].Own.MeshAddress, Now);
 }
 
+std::pair<std::size_t, std::size_t>
+fleet::spreadNotice(std::size_t Origin) const {
+  std::set<base::endpoint> Informed{Entries[Origin].Own.MeshAddress};
+  std::vector<const fleet_entry *> Senders{&Entries[Origin]};
+  std::size_t MessageCount = 0;
+  while (!Senders.empty()) {
+    const auto Receivers = Senders.back()->Table->noticeReceivers(Now);
+    Senders.pop_back();
+    MessageCount += Receivers.size();
+    for (const fleet_entry &Entry : Entries)
+      if (std::count(Receivers.begin(), Receivers.end(),
+                     Entry.Own.MeshAddress) != 0 &&
+          Informed.insert(Entry.Own.MeshAddress).second &&
+          Entry.Table->sendsDigests())
+        Senders.push_back(&Entry);
+  }
+  return {Informed.size(), MessageCount};
+}
+
 void fleet::step() {
   while (!InTransit.empty() && InTransit.begin()->first <= Now) {
     const datagram Datagram = InTransit.begin()->second;
--- a/tests/support/entry_fleet.hpp
+++ b/tests/support/entry_fleet.hpp
@@ -47,6 +47,11 @@
   std::size_t liveLocalCount(std::size_t Index) const;
   const base::region_name &regionOf(std::size_t Index) const;
 
+  /// Tells the entries of something that one of them has learned; relays of
+  /// large regions pass it on.
+  /// \return the numbers of entries that know it and of messages sent
+  std::pair<std::size_t, std::size_t> spreadNotice(std::size_t Origin) const;
+
   base::boot_time Now{std::chrono::hours(1)};
   std::vector<fleet_entry> Entries;
   /// Sender and receiver of datagrams that are lost.
--- a/tests/unit-membership-fleet.cpp
+++ b/tests/unit-membership-fleet.cpp
@@ -48,6 +48,20 @@
   }
 }
 
+// Guards against entries that never hear that a target leaves, and against
+// messages about it that grow with the square of the fleet.
+TEST(membership_fleet, ANoticeReachesEveryEntryOnce) {
+  for (const std::size_t Size : {10, 70, 295}) {
+    fleet Fleet(Size, 0);
+    Fleet.run(8s);
+    for (const std::size_t Origin : {std::size_t{0}, Size / 2, Size - 1}) {
+      const auto [Informed, MessageCount] = Fleet.spreadNotice(Origin);
+      LONGS_EQUAL(Size, Informed);
+      CHECK(MessageCount < 5 * Size);
+    }
+  }
+}
+
 // Guards against dead entries that stay in the answers of the directory because
 // relays report them to each other again and again, and against entries that
 // are lost together with the relays.
