Let http_channel deliver the body of a response in pieces

Callers of an entry waited for the last byte of a download before they got the first one, and the entry held every download whole: http_channel had no other way than to collect a response.

callStreaming() asks an observer what to do with a response once its head was read: skip, collect or stream it. A streamed body is delivered in pieces of at most 16 KiB, and nothing is read until resume(). call() keeps its semantics and is built on it.

The channel reads the socket itself instead of with async_read_some() of Beast. That returns only when the bytes read end exactly between two parts of the message: with chunks of 9 bytes and reads of 16 KiB it never did, and net_channel.EndsAChunkedBodyWithoutEnd printed "but was <deadline_passed>" during this work. Reads are larger, too: 2 KiB at first instead of 512 bytes, up to 16 KiB for a body, released after it.

Responses to other requests are dropped while they are read. Before, their bodies were collected: net_channel_streaming.SkippedResponsesAreNotHeld printed "CHECK(!Reclaimed) failed" on the old code, because a late copy of 480 kB took the memory of another response. The other new tests need the new interface and do not compile on the old code.

--- a/include/skylarkdyke/net/http_channel.hpp
+++ b/include/skylarkdyke/net/http_channel.hpp
@@ -21,6 +21,7 @@
     boost::beast::http::request<boost::beast::http::string_body>;
 using http_response =
     boost::beast::http::response<boost::beast::http::string_body>;
+using http_response_head = boost::beast::http::response_header<>;
 
 /// \brief Reason why a call did not yield a complete response.
 enum class channel_fault {
@@ -57,6 +58,37 @@
 
 using call_result = base::result<http_response, channel_error>;
 
+/// \brief What happens to a response whose head was read.
+enum class response_use {
+  /// The response belongs to another request. It is read and dropped, and the
+  /// next one is awaited.
+  Skip,
+  /// The response is delivered whole. Its size is limited.
+  Collect,
+  /// The body is delivered in pieces as it arrives, without a limit on its
+  /// size.
+  Stream,
+};
+
+/// \brief Receives the response of a call in parts.
+///
+/// OnHead and OnPiece must not end the call from within.
+struct response_observer {
+  /// Decides what happens to a response. Called once its head was read, also
+  /// for responses to other requests, but not for interim responses.
+  /// \param Complete whether the body was read, too; then response_use::Stream
+  /// has the meaning of response_use::Collect
+  std::function<response_use(const http_response_head &Head, bool Complete)>
+      OnHead;
+  /// Receives a piece of a streamed body. Nothing more is read until
+  /// http_channel::resume() is called. The first piece, which is all that was
+  /// read with the head, may be empty.
+  std::function<void(std::string Piece)> OnPiece;
+  /// Called exactly once, at the end of the call. For a streamed response, the
+  /// body holds the last piece only.
+  std::function<void(call_result)> OnEnd;
+};
+
 /// \brief Time limits of one call.
 struct call_limits {
   /// A new connection must be established by this time.
@@ -91,6 +123,15 @@
   void call(http_request Request, const call_limits &Limits,
             response_filter Filter, handler OnDone);
 
+  /// \brief Sends a request like call(), and reads its response in parts.
+  /// \param Observer its callbacks are never called from within this call
+  void callStreaming(http_request Request, const call_limits &Limits,
+                     response_observer Observer);
+
+  /// \brief Continues to read a streamed response after a piece was delivered.
+  /// Does nothing if no call waits for this.
+  void resume();
+
   /// \brief Ends the call in progress with channel_fault::Cancelled and
   /// closes the connection. Does nothing if no call is in progress.
   void cancel();
--- a/src/net/http_channel.cpp
+++ b/src/net/http_channel.cpp
@@ -8,12 +8,14 @@
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cstdlib>
+#include <limits>
 #include <netinet/tcp.h>
 #include <optional>
 #include <sys/socket.h>
+#include <utility>
 
 namespace skylarkdyke::net {
 
@@ -22,6 +24,10 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
+/// Size of the first read of a response: most responses fit.
+static constexpr std::size_t FirstReadBytes = 2048;
+/// Minimum size of any other read.
+static constexpr std::size_t MinReadBytes = 512;
 /// Maximum size of a response header.
 static constexpr std::uint32_t MaxHeaderBytes = 8192;
 /// Maximum size of what must be read as a whole: a header, the line before a
@@ -116,8 +122,14 @@
   void readMore(const std::shared_ptr<http_channel> &Self);
   void onRead(const std::shared_ptr<http_channel> &Self,
               const error_code &Failure, std::size_t Size);
-  void onResponse(const std::shared_ptr<http_channel> &Self,
-                  const error_code &Failure);
+  void parse(const std::shared_ptr<http_channel> &Self);
+  void onProgress(const std::shared_ptr<http_channel> &Self);
+  void decideUse();
+  void readBody(const std::shared_ptr<http_channel> &Self);
+  void deliverPiece(const std::shared_ptr<http_channel> &Self, bool IsFirst);
+  bool exceedsLimit() const;
+  void onComplete(const std::shared_ptr<http_channel> &Self);
+  void skipResponse(const std::shared_ptr<http_channel> &Self, bool KeepAlive);
   void setTimer(const std::shared_ptr<http_channel> &Self,
                 base::boot_time Until, channel_fault Fault);
   void reclaim(const std::shared_ptr<http_channel> &Self);
@@ -139,8 +151,9 @@
   std::optional<parser> Parser;
   http_request Request;
   call_limits Limits{};
-  response_filter Filter;
-  handler OnDone;
+  response_observer Observer;
+  /// What happens to the current response; nothing until its head was read.
+  std::optional<response_use> Use;
   /// Number of the current call; handlers of earlier calls are ignored.
   unsigned CallId = 0;
   std::optional<response_memory::holding> Holding;
@@ -149,6 +162,8 @@
   unsigned SkippedResponses = 0;
   /// A read that uses Parser and Buffer is pending.
   bool ReadPending = false;
+  /// A piece was delivered, and resume() has not been called yet.
+  bool Paused = false;
   bool Open = false;
   bool Reusable = false;
   bool RequestWritten = false;
@@ -171,12 +186,25 @@
 
 void http_channel::call(http_request Request, const call_limits &Limits,
                         response_filter Filter, handler OnDone) {
+  callStreaming(
+      std::move(Request), Limits,
+      {[Filter = std::move(Filter)](const http_response_head &Head, bool) {
+         return Filter(http_response(http_response_head(Head)))
+                    ? response_use::Collect
+                    : response_use::Skip;
+       },
+       nullptr, std::move(OnDone)});
+}
+
+void http_channel::callStreaming(http_request Request,
+                                 const call_limits &Limits,
+                                 response_observer Observer) {
   impl &State = *Impl;
   ++State.CallId;
   State.Request = std::move(Request);
   State.Limits = Limits;
-  State.Filter = std::move(Filter);
-  State.OnDone = std::move(OnDone);
+  State.Observer = std::move(Observer);
+  State.Paused = false;
   State.Reusable = false;
   State.RequestWritten = false;
   State.SendStarted = false;
@@ -209,7 +237,7 @@
   Socket.async_connect(
       tcp::endpoint(Address, Peer.Port),
       [this, Self, Started, Id = CallId](const error_code &Result) {
-        if (Id != CallId || !OnDone)
+        if (Id != CallId)
           return;
         if (Result)
           return fail(channel_fault::ConnectRefused);
@@ -239,47 +267,42 @@
 
 void http_channel::impl::readResponse(
     const std::shared_ptr<http_channel> &Self) {
+  Use.reset();
   Parser.emplace();
   Parser->header_limit(MaxHeaderBytes);
-  Parser->body_limit(Memory.maxResponseBytes());
+  // exceedsLimit() checks the size, which is not limited for streamed bodies.
+  Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
   Parser->eager(true);
   if (Request.method() == beast::http::verb::head)
     Parser->skip(true);
+  Buffer.reserve(FirstReadBytes);
+  if (Buffer.size() > 0)
+    return parse(Self);
   readMore(Self);
 }
 
 void http_channel::impl::readMore(const std::shared_ptr<http_channel> &Self) {
+  const std::size_t Room = Buffer.max_size() - Buffer.size();
+  if (Room == 0)
+    return fail(channel_fault::ExcessBytes);
+  const std::size_t Unused = Buffer.capacity() - Buffer.size();
   ReadPending = true;
-  beast::http::async_read_some(
-      Socket, Buffer, *Parser,
+  Socket.async_read_some(
+      Buffer.prepare(std::min(Room, std::max(Unused, MinReadBytes))),
       [this, Self, Id = CallId](const error_code &Result, std::size_t Size) {
         ReadPending = false;
-        if (Id == CallId && OnDone)
+        if (Id == CallId)
           onRead(Self, Result, Size);
-        else if (!OnDone)
+        else if (!Observer.OnEnd)
           releaseMemory();
       });
 }
 
-void http_channel::impl::onRead(const std::shared_ptr<http_channel> &Self,
-                                const error_code &Failure, std::size_t Size) {
-  ReceivedBytes += Size;
-  if (ReceivedBytes > Memory.maxResponseBytes())
-    return fail(channel_fault::ExcessBytes);
-  if (Failure || Parser->is_done())
-    return onResponse(Self, Failure);
-  Holding->resize(Buffer.capacity() + Parser->get().body().capacity());
-  readMore(Self);
-}
-
 /// Maps a Beast read error to a fault.
 /// \param ReceivedBytes whether part of the response was received
 static channel_fault faultOf(const error_code &Failure, bool ReceivedBytes) {
-  if (Failure == beast::http::error::end_of_stream)
-    return channel_fault::ClosedBeforeResponse;
   if (Failure == beast::http::error::header_limit ||
-      Failure == beast::http::error::body_limit ||
-      Failure == beast::http::error::buffer_overflow)
+      Failure == beast::http::error::body_limit)
     return channel_fault::ExcessBytes;
   if (Failure == beast::http::error::partial_message)
     return channel_fault::Truncated;
@@ -290,6 +313,88 @@
                        : channel_fault::ClosedBeforeResponse;
 }
 
+void http_channel::impl::onRead(const std::shared_ptr<http_channel> &Self,
+                                const error_code &Failure, std::size_t Size) {
+  Buffer.commit(Size);
+  ReceivedBytes += Size;
+  if (!Failure)
+    return parse(Self);
+  error_code Result = Failure;
+  if (Failure == asio::error::eof && Parser->got_some())
+    Parser->put_eof(Result);
+  if (Result)
+    return fail(faultOf(Result, Parser->got_some()));
+  onProgress(Self);
+}
+
+/// Parses the bytes read. What is left in the buffer needs more bytes.
+void http_channel::impl::parse(const std::shared_ptr<http_channel> &Self) {
+  error_code Failure;
+  Buffer.consume(Parser->put(Buffer.data(), Failure));
+  if (Failure && Failure != beast::http::error::need_more)
+    return fail(faultOf(Failure, true));
+  onProgress(Self);
+}
+
+void http_channel::impl::onProgress(const std::shared_ptr<http_channel> &Self) {
+  const bool HeadJustRead = !Use && Parser->is_header_done();
+  if (HeadJustRead)
+    decideUse();
+  if (exceedsLimit())
+    return fail(channel_fault::ExcessBytes);
+  if (Parser->is_done())
+    return onComplete(Self);
+  if (Use == response_use::Stream)
+    return deliverPiece(Self, HeadJustRead);
+  readBody(Self);
+}
+
+void http_channel::impl::decideUse() {
+  if (Parser->get().result_int() < 200) {
+    Use = response_use::Skip;
+    return;
+  }
+  Use = Observer.OnHead(Parser->get().base(), Parser->is_done());
+  UnexpectedBytes = UnexpectedBytes || Use == response_use::Skip;
+}
+
+bool http_channel::impl::exceedsLimit() const {
+  if (Use == response_use::Stream)
+    return false;
+  const bool MoreExpected = Use && !Parser->is_done();
+  return ReceivedBytes > Memory.maxResponseBytes() ||
+         (MoreExpected &&
+          Parser->content_length().value_or(0) > Memory.maxResponseBytes());
+}
+
+/// Reads on after the head or a part of the body.
+void http_channel::impl::readBody(const std::shared_ptr<http_channel> &Self) {
+  if (Use == response_use::Skip)
+    Parser->get().body().clear();
+  if (Use)
+    Buffer.reserve(std::min<std::uint64_t>(
+        Parser->content_length_remaining().value_or(MaxBufferBytes),
+        MaxBufferBytes));
+  Holding->resize(Buffer.capacity() + Parser->get().body().capacity());
+  readMore(Self);
+}
+
+void http_channel::impl::deliverPiece(const std::shared_ptr<http_channel> &Self,
+                                      bool IsFirst) {
+  std::string Piece = std::exchange(Parser->get().body(), {});
+  if (Piece.empty() && !IsFirst)
+    return readBody(Self);
+  // The piece is held until it was passed on.
+  Holding->resize(Buffer.capacity() + Piece.capacity());
+  Paused = true;
+  Observer.OnPiece(std::move(Piece));
+}
+
+void http_channel::resume() {
+  if (std::exchange(Impl->Paused, false))
+    Impl->readBody(shared_from_this());
+}
+
 /// Returns the time for which the peer keeps an idle connection open, in
 /// whole seconds.
 static std::chrono::seconds keepAliveOf(const http_response &Response) {
@@ -301,23 +406,12 @@
   return std::chrono::seconds(std::strtol(Number.c_str(), nullptr, 10));
 }
 
-void http_channel::impl::onResponse(const std::shared_ptr<http_channel> &Self,
-                                    const error_code &Failure) {
-  if (Failure || !Parser->is_done())
-    return fail(
-        faultOf(Failure, Parser->is_header_done() || Parser->got_some()));
+void http_channel::impl::onComplete(const std::shared_ptr<http_channel> &Self) {
   const bool KeepAlive = Parser->keep_alive();
+  if (Use == response_use::Skip)
+    return skipResponse(Self, KeepAlive);
   auto Message = Parser->release();
   http_response Response(std::move(Message.base()), std::move(Message.body()));
-  const bool Interim = Response.result_int() < 200;
-  if (Interim || !Filter(Response)) {
-    UnexpectedBytes = UnexpectedBytes || !Interim;
-    if (!KeepAlive)
-      return fail(channel_fault::ClosedBeforeResponse);
-    if (++SkippedResponses > MaxSkippedResponses)
-      return fail(channel_fault::ExcessBytes);
-    return readResponse(Self);
-  }
   Reusable = KeepAlive && RequestWritten && Buffer.size() == 0;
   UnexpectedBytes = UnexpectedBytes || Buffer.size() != 0;
   if (Reusable)
@@ -326,15 +420,29 @@
                         keepAliveOf(Response) * KeepAliveFraction);
   else
     closeSocket();
+  // An idle connection keeps no buffer for a large body.
+  if (Buffer.capacity() > FirstReadBytes) {
+    Buffer.clear();
+    Buffer.shrink_to_fit();
+  }
   Holding.reset();
   finish(std::move(Response));
 }
 
+void http_channel::impl::skipResponse(const std::shared_ptr<http_channel> &Self,
+                                      bool KeepAlive) {
+  if (!KeepAlive)
+    return fail(channel_fault::ClosedBeforeResponse);
+  if (++SkippedResponses > MaxSkippedResponses)
+    return fail(channel_fault::ExcessBytes);
+  readResponse(Self);
+}
+
 /// Ends the call from a handler of its own, because the memory is reclaimed
 /// while another channel handles its bytes.
 void http_channel::impl::reclaim(const std::shared_ptr<http_channel> &Self) {
   asio::post(Loop, [this, Self, Id = CallId] {
-    if (Id == CallId && OnDone)
+    if (Id == CallId)
       fail(channel_fault::MemoryLimit);
   });
 }
@@ -357,13 +465,13 @@
 void http_channel::impl::finish(call_result Result) {
   ++CallId;
   Timer.cancel();
-  const handler Handler = std::move(OnDone);
-  OnDone = nullptr;
-  Handler(std::move(Result));
+  Paused = false;
+  const response_observer Ended = std::exchange(Observer, {});
+  Ended.OnEnd(std::move(Result));
 }
 
 void http_channel::cancel() {
-  if (Impl->OnDone)
+  if (Impl->Observer.OnEnd)
     Impl->fail(channel_fault::Cancelled);
 }
 
