Let http_server send a response in pieces

startResponse() and writePiece() send the head with the first piece and the body with its length or in chunks. The caller's connection is watched all the while; a caller that leaves between two pieces or during a write is reported once. abandon() closes the connection in the middle of a response, without the last chunk.

The class of a connection moves from http_server.cpp to net/detail/session.hpp and its functions for responses to net/detail/session_response.cpp; those that read requests stay where they are, unchanged.

--- a/include/skylarkdyke/net/http_server.hpp
+++ b/include/skylarkdyke/net/http_server.hpp
@@ -7,8 +7,10 @@
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace skylarkdyke::net {
@@ -25,10 +27,26 @@
   /// \brief Returns the time at which the last byte of the request was read.
   virtual base::boot_time arrivedAt() const = 0;
 
-  /// \brief Sends the response. Only the first call has an effect.
+  /// \brief Sends the response. Only the first call of answer() or
+  /// startResponse() has an effect.
   virtual void answer(http_response Response) = 0;
 
-  /// \brief Closes the connection without sending a response.
+  /// \brief Starts a response whose body is sent in pieces. The head is sent
+  /// with the first piece.
+  /// \param Length length of the body; without it the body is sent in chunks,
+  /// which callers of HTTP/1.0 do not understand
+  virtual void startResponse(http_response_head Head,
+                             std::optional<std::uint64_t> Length) = 0;
+
+  /// \brief Sends a piece of the body. The previous one must have been written.
+  /// \param Last whether the piece ends the body
+  /// \param OnWritten called once the piece was written, unless it is the last
+  /// one, writing fails or the response was abandoned
+  virtual void writePiece(std::string Piece, bool Last,
+                          std::function<void()> OnWritten) = 0;
+
+  /// \brief Closes the connection without sending a response, or in the middle
+  /// of one that was started.
   virtual void abandon() = 0;
 
   /// \brief Returns whether the caller has closed its connection, also if the
@@ -36,11 +54,13 @@
   virtual bool hasCallerDisconnected() const = 0;
 
   /// \brief Sets the callback that runs if the caller closes its connection
-  /// before the response is sent.
+  /// before the response, or the last piece of its body, is sent. It also runs
+  /// if another piece cannot be written.
   virtual void onCallerDisconnected(std::function<void()> Callback) = 0;
 
-  /// \brief Sets the callback that runs if the response given to answer()
-  /// could not be written completely. It may run after the request is released.
+  /// \brief Sets the callback that runs if the response given to answer(), or
+  /// the last piece of its body, could not be written completely. It may run
+  /// after the request is released.
   virtual void
   onResponseLost(std::function<void(const std::string &Reason)> Callback) = 0;
 };
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,19 +1,11 @@
 #include "skylarkdyke/net/http_server.hpp"
 
-#include "skylarkdyke/net/one_shot_timer.hpp"
+#include "net/detail/session.hpp"
 
-#include <array>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 #include <glog/logging.h>
-#include <optional>
-#include <sys/socket.h>
-#include <unordered_set>
-#include <utility>
 
 namespace skylarkdyke::net {
 
@@ -29,11 +21,6 @@
 /// Delay before the next accept after a failed one, for example when the
 /// process is out of file descriptors.
 static constexpr std::chrono::milliseconds AcceptRetryDelay{50};
-/// Time for which a connection stays open after its last response, so that the
-/// caller can read it and close first.
-static constexpr std::chrono::milliseconds LingerTimeout{500};
-/// Time limit for receiving a request body and for sending a response.
-static constexpr std::chrono::seconds TransferTimeout{30};
 
 http_response makeResponse(unsigned Status, std::string Body,
                            const char *ContentType) {
@@ -44,152 +31,14 @@
   return Response;
 }
 
-namespace {
-class session;
-} // namespace
+namespace detail {
 
-struct http_server::impl : std::enable_shared_from_this<http_server::impl> {
-  impl(asio::io_context &Loop, std::size_t MaxConnections,
-       std::function<base::message_limits()> Limits, handler OnRequest)
-      : Loop(Loop), Acceptor(Loop), AcceptRetryTimer(Loop),
-        MaxConnections(MaxConnections), Limits(std::move(Limits)),
-        OnRequest(std::move(OnRequest)) {}
-
-  void accept();
-  void onAccept(const error_code &Failure, tcp::socket Socket);
-
-  asio::io_context &Loop;
-  tcp::acceptor Acceptor;
-  one_shot_timer AcceptRetryTimer;
-  std::size_t MaxConnections;
-  std::function<base::message_limits()> Limits;
-  handler OnRequest;
-  std::unordered_set<session *> Sessions;
-  std::size_t ActiveRequests = 0;
-  bool Draining = false;
-  bool Stopped = false;
-};
-
-namespace {
-
-/// One connection of a caller. Requests are read one at a time: the next one
-/// after the response to the previous one.
-class session : public pending_request,
-                public std::enable_shared_from_this<session> {
-public:
-  session(std::shared_ptr<http_server::impl> Owner, tcp::socket Socket)
-      : Server(std::move(Owner)), Socket(std::move(Socket)),
-        Timer(Server->Loop) {
-    Server->Sessions.insert(this);
-  }
-  ~session() override {
-    setActive(false);
-    Server->Sessions.erase(this);
-  }
-
-  void start() {
-    error_code Ignored;
-    Socket.set_option(tcp::no_delay(true), Ignored);
-    setAckTimeout(Socket.native_handle(), CallerAckTimeout);
-    awaitRequest();
-  }
-
-  void closeIfIdle() {
-    if (!IsActive && !hasUnreadBytes())
-      closeSocket();
-  }
-
-  const http_request &request() const override { return Request; }
-  base::boot_time arrivedAt() const override { return ArrivedAt; }
-  bool hasCallerDisconnected() const override {
-    return peek() == peer_state::Disconnected;
-  }
-  void onCallerDisconnected(std::function<void()> Callback) override {
-    OnDisconnected = std::move(Callback);
-  }
-  void
-  onResponseLost(std::function<void(const std::string &)> Callback) override {
-    OnResponseLost = std::move(Callback);
-  }
-  void answer(http_response Response) override;
-  void abandon() override;
-
-private:
-  enum class peer_state {
-    /// Nothing has arrived.
-    Silent,
-    /// The start of the next request has arrived.
-    Sending,
-    Disconnected,
-  };
-
-  /// Looks at the socket without reading from it.
-  peer_state peek() const {
-    char Byte = 0;
-    const ssize_t Count =
-        recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (Count > 0)
-      return peer_state::Sending;
-    return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)
-               ? peer_state::Silent
-               : peer_state::Disconnected;
-  }
-
-  /// A request may be in the receive buffer whose handler has not run yet.
-  bool hasUnreadBytes() {
-    error_code Ignored;
-    return Socket.available(Ignored) > 0;
-  }
-
-  void awaitRequest();
-  void readHeader();
-  void onHeader(const error_code &Failure);
-  void readBody();
-  void onBody(const error_code &Failure);
-  void watchForDisconnect();
-  void onReadable();
-  void rejectUnreadable(const error_code &Failure);
-  void write(bool Close);
-  void finishWrite(const error_code &Failure, bool Close);
-  void closeAfterResponse();
-  void discardBytes();
-  void closeAt(base::boot_time Until);
-  void setIdleTimer();
-  void onIdleTimeout();
-
-  void closeSocket() {
-    error_code Ignored;
-    Timer.cancel();
-    Socket.shutdown(tcp::socket::shutdown_both, Ignored);
-    Socket.close(Ignored);
-  }
-  void setActive(bool Active) {
-    if (Active == IsActive)
-      return;
-    IsActive = Active;
-    Server->ActiveRequests += Active ? 1 : -1;
-  }
-
-  using parser = bhttp::request_parser<bhttp::string_body>;
-
-  std::shared_ptr<http_server::impl> Server;
-  /// Mutable because Asio has no constant access to the native handle.
-  mutable tcp::socket Socket;
-  one_shot_timer Timer;
-  beast::flat_buffer Buffer;
-  /// Holds bytes that are read after the last response.
-  std::array<char, 512> Discarded{};
-  std::optional<parser> Parser;
-  http_request Request;
-  http_response Response;
-  base::boot_time ArrivedAt{};
-  base::boot_time IdleSince{};
-  std::function<void()> OnDisconnected;
-  std::function<void(const std::string &)> OnResponseLost;
-  bool IsActive = false;
-  bool Answerable = false;
-  bool PeerKeepsAlive = false;
-};
+void session::start() {
+  error_code Ignored;
+  Socket.set_option(tcp::no_delay(true), Ignored);
+  setAckTimeout(Socket.native_handle(), CallerAckTimeout);
+  awaitRequest();
+}
 
 void session::closeAt(base::boot_time Until) {
   Timer.set(Until, [Weak = weak_from_this()] {
@@ -297,14 +146,19 @@
 }
 
 void session::onReadable() {
-  if (!Answerable)
+  if (!Answerable && !Stream)
     return;
   const peer_state State = peek();
   if (State == peer_state::Sending)
     return;
   if (State == peer_state::Silent)
     return watchForDisconnect();
+  onCallerLeft();
+}
+
+void session::onCallerLeft() {
   Answerable = false;
+  Stream.reset();
   setActive(false);
   closeSocket();
   const auto Callback = std::move(OnDisconnected);
@@ -333,78 +187,7 @@
   answer(makeResponse(Status, "the request cannot be read\n"));
 }
 
-void session::answer(http_response NewResponse) {
-  if (!Answerable)
-    return;
-  Answerable = false;
-  OnDisconnected = nullptr;
-  error_code Ignored;
-  Socket.cancel(Ignored);
-  Response = std::move(NewResponse);
-  Response.version(11);
-  const bool Close = !PeerKeepsAlive || Server->Draining;
-  Response.keep_alive(!Close);
-  // A response to HEAD carries the length of a body that is not sent, so the
-  // Content-Length header is left as it is.
-  if (Request.method() != bhttp::verb::head)
-    Response.prepare_payload();
-  write(Close);
-}
-
-void session::write(bool Close) {
-  closeAt(base::boot_clock::now() + TransferTimeout);
-  const auto OnDone = [Self = shared_from_this(),
-                       Close](const error_code &Result, std::size_t) {
-    Self->finishWrite(Result, Close);
-  };
-  bhttp::async_write(Socket, Response, OnDone);
-}
-
-void session::finishWrite(const error_code &Failure, bool Close) {
-  Response.body().clear();
-  const auto LostCallback = std::exchange(OnResponseLost, nullptr);
-  if (Failure && LostCallback)
-    LostCallback(Failure.message());
-  if (Failure) {
-    setActive(false);
-    return closeSocket();
-  }
-  if (Close)
-    return closeAfterResponse();
-  awaitRequest();
-}
-
-/// Closes the connection once the caller has closed it, or after a while. If
-/// unread bytes of the caller were there at the close, the connection would be
-/// reset, and the caller could lose the response.
-void session::closeAfterResponse() {
-  error_code Ignored;
-  Socket.shutdown(tcp::socket::shutdown_send, Ignored);
-  closeAt(base::boot_clock::now() + LingerTimeout);
-  discardBytes();
-}
-
-void session::discardBytes() {
-  Socket.async_read_some(
-      asio::buffer(Discarded),
-      [Self = shared_from_this()](const error_code &Failure, std::size_t) {
-        if (!Failure)
-          return Self->discardBytes();
-        Self->setActive(false);
-        Self->closeSocket();
-      });
-}
-
-void session::abandon() {
-  if (!Answerable)
-    return;
-  Answerable = false;
-  OnDisconnected = nullptr;
-  setActive(false);
-  closeSocket();
-}
-
-} // namespace
+} // namespace detail
 
 void http_server::impl::accept() {
   if (Stopped)
@@ -426,7 +209,8 @@
     return;
   }
   if (Sessions.size() < MaxConnections)
-    std::make_shared<session>(shared_from_this(), std::move(Socket))->start();
+    std::make_shared<detail::session>(shared_from_this(), std::move(Socket))
+        ->start();
   accept();
 }
 
@@ -464,7 +248,7 @@
   Impl->Stopped = true;
   error_code Ignored;
   Impl->Acceptor.close(Ignored);
-  for (session *Session : Impl->Sessions)
+  for (detail::session *Session : Impl->Sessions)
     Session->closeIfIdle();
 }
 
