Send responses on to callers while their targets still send them

Callers got the first byte of a download after its last one, and an entry with many downloads under way held them whole, until the limit for incomplete responses broke them.

The exchange decides on the head. A final response that is not complete yet is relayed (gateway/detail/response_relay): the head at once, then pieces, the next one read when the previous one was written. Once it is started, other attempts are cancelled and nothing is repeated. If it ends early, or at the deadline or the end of a stop, the caller's connection is closed, so that it does not look complete, and ResponseBroken (508) is logged and counted. If the caller leaves, the connection to the target is closed, also for requests that are not idempotent: they have run. A target is not charged with a deadline that passes while its caller does not read, nor with the time for which the caller kept it waiting.

A body with a stated length of at most 16 KiB is still collected, so that another target is tried if it is cut; so is a body without length for a caller of HTTP/1.0, which knows no chunks.

--- a/include/skylarkdyke/base/event.hpp
+++ b/include/skylarkdyke/base/event.hpp
@@ -59,6 +59,7 @@
   RequestEnded = 505,
   SendFailed = 506,
   ResponseLost = 507,
+  ResponseBroken = 508,
 
   // 600: operators
   OperatorDenied = 600,
--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -165,21 +165,40 @@
   Attempts.push_back({Chosen, Channel, Now});
   const auto TimeLeft =
       std::chrono::duration_cast<milliseconds>(Query.Deadline - Now);
-  Channel->call(
+  const auto Self = shared_from_this();
+  const std::size_t Index = Attempts.size() - 1;
+  Channel->callStreaming(
       toTargetRequest(Caller->request(), Context.Headers, Chosen.Id, TimeLeft),
       {Now + ConnectTimeout, Query.Deadline},
-      [Headers = Context.Headers,
-       RequestId = requestHeader(Context.Headers.RequestId),
-       IsFirst = !Channel->isOpen()](const net::http_response &Response) {
-        return belongsToRequest(Response, Headers, RequestId, IsFirst);
-      },
-      [Self = shared_from_this(),
-       Index = Attempts.size() - 1](net::call_result Result) {
-        Self->onCallResult(Index, std::move(Result));
-      });
+      {[Self, Index, IsFirst = !Channel->isOpen()](
+           const net::http_response_head &Head, bool Complete) {
+         return Self->onHead(Index, Head, IsFirst, Complete);
+       },
+       [Self](std::string Piece) { Self->Relay->pass(std::move(Piece)); },
+       [Self, Index](net::call_result Result) {
+         Self->onCallResult(Index, std::move(Result));
+       }});
   scheduleHedge(Attempts.back());
 }
 
+/// Called for each response that arrives on the connection of an attempt, at
+/// the latest when its body is complete.
+net::response_use exchange::onHead(std::size_t Index,
+                                   const net::http_response_head &Head,
+                                   bool IsFirstOnConnection, bool Complete) {
+  if (!belongsToRequest(Head, Context.Headers,
+                        requestHeader(Context.Headers.RequestId),
+                        IsFirstOnConnection))
+    return net::response_use::Skip;
+  if (Complete || Done ||
+      !mayBeStreamed(Head, Context.Headers, Caller->request().version()))
+    return net::response_use::Collect;
+  RelayedAttempt = Index;
+  Relay.emplace(Caller, Attempts[Index].Channel, Head);
+  cancelRunningAttempts();
+  return net::response_use::Stream;
+}
+
 void exchange::scheduleHedge(const attempt &Attempt) {
   if (Query.Route->Repeatability != routing::repeatability::Idempotent ||
       Attempts.size() >= Query.Route->MaxAttempts)
@@ -212,10 +231,16 @@
                                    std::get<unknown_outcome>(Outcome).Reason)
                         : std::tie(std::get<not_executed>(Outcome).Result,
                                    std::get<not_executed>(Outcome).Reason);
-  Context.TargetRegistry.endSend(Attempt.Chosen.Id, SendResult,
-                                 Query.Service->ColdTime, Now);
+  const bool Relayed = isRelayed(Index);
+  // A target is not late while the caller does not read.
+  const bool CallerLate = Relayed && Relay->isWaitingForCaller();
+  Context.TargetRegistry.endSend(
+      Attempt.Chosen.Id, CallerLate ? send_result::Cancelled : SendResult,
+      Query.Service->ColdTime, Now);
   releaseChannel(Attempt, Now);
   TimedOut = TimedOut || SendResult == send_result::TimedOut;
+  if (Relayed)
+    return breakRelay(Reason);
   if (Done)
     return;
   logFailedAttempt(Attempt, Reason, AttemptMayHaveRun);
@@ -231,45 +256,6 @@
       Now);
 }
 
-/// Parses the load header of a target, "running,waiting,slots".
-static std::optional<placement::reported_load>
-parseLoad(const std::string &Text) {
-  placement::reported_load Load;
-  if (std::sscanf(Text.c_str(), "%u,%u,%u", &Load.Running, &Load.Waiting,
-                  &Load.Slots) != 3)
-    return std::nullopt;
-  return Load;
-}
-
-void exchange::recordResponse(const attempt &Attempt,
-                              const net::http_response &Response) {
-  const auto Now = base::boot_clock::now();
-  const bool Failed = isTargetError(Response);
-  Context.TargetRegistry.endSend(Attempt.Chosen.Id,
-                                 Failed ? send_result::ErrorAnswer
-                                        : send_result::Answered,
-                                 Query.Service->ColdTime, Now);
-  if (const auto Load = parseLoad(std::string(Response[Context.Headers.Load])))
-    Context.TargetRegistry.recordReportedLoad(Attempt.Chosen.Id, *Load, Now);
-  if (!Failed)
-    Context.Placer.recordAnswer(Query, Attempt.Chosen, Now - Attempt.SentAt,
-                                Now);
-}
-
-void exchange::onResponse(std::size_t Index, response_received Outcome) {
-  const attempt &Attempt = Attempts[Index];
-  recordResponse(Attempt, Outcome.Response);
-  releaseChannel(Attempt, base::boot_clock::now());
-  if (Done)
-    return;
-  if (isTargetError(Outcome.Response)) {
-    TargetErrorResponse = std::move(Outcome.Response);
-    return onAttemptFailed("target_failure", true);
-  }
-  cancelRunningAttempts();
-  respond(std::move(Outcome.Response), "answered");
-}
-
 /// Nothing was sent to an unreachable target, so the attempt on the next one
 /// is no retry and does not use the retry allowance.
 bool exchange::mayTryNextTarget(send_result Result) {
@@ -330,19 +316,23 @@
   Done = true;
   NextAttemptTimer.cancel();
   for (std::size_t I = 0; I < Attempts.size(); ++I)
-    if (Attempts[I].Running)
+    if (Attempts[I].Running && !isRelayed(I))
       Attempts[I].Channel->cancel();
 }
 
 void exchange::onCallerDisconnected() {
-  if (Done)
+  if (Done && !Relay)
     return;
   logRequest(0, "caller_gone");
   Done = true;
   NextAttemptTimer.cancel();
-  // An attempt of a request that is not idempotent continues: if it were
-  // cancelled, it would be unknown whether the request was executed.
-  if (Query.Route->Repeatability == routing::repeatability::Idempotent)
+  // An attempt of a request that is not idempotent continues until its
+  // response starts: if it were cancelled, it would be unknown whether the
+  // request was executed.
+  const bool Started = Relay.has_value();
+  Relay.reset();
+  if (Started ||
+      Query.Route->Repeatability == routing::repeatability::Idempotent)
     cancelRunningAttempts();
 }
 
@@ -355,6 +345,8 @@
 }
 
 void exchange::endForStop() {
+  if (Relay)
+    breakRelay(StoppingReason);
   if (Done)
     return cancelRunningAttempts();
   MayHaveRun = MayHaveRun || hasRunningAttempt();
--- a/src/gateway/detail/exchange.hpp
+++ b/src/gateway/detail/exchange.hpp
@@ -3,6 +3,7 @@
 
 #include "gateway/detail/channel_pool.hpp"
 #include "gateway/detail/demand_meter.hpp"
+#include "gateway/detail/response_relay.hpp"
 #include "gateway/detail/send_outcome.hpp"
 #include "gateway/detail/steering_state.hpp"
 #include "gateway/detail/stop_schedule.hpp"
@@ -81,11 +82,17 @@
   void selectTarget();
   void onNoTarget(const placement::no_target &NoTargetResult);
   void send(const placement::chosen_target &Chosen);
+  net::response_use onHead(std::size_t Index,
+                           const net::http_response_head &Head,
+                           bool IsFirstOnConnection, bool Complete);
   void onCallResult(std::size_t Index, net::call_result Result);
   void releaseChannel(const attempt &Attempt, base::boot_time Now);
   void recordResponse(const attempt &Attempt,
                       const net::http_response &Response);
   void onResponse(std::size_t Index, response_received Outcome);
+  bool isRelayed(std::size_t Index) const;
+  void finishRelay(net::http_response Response);
+  void breakRelay(const std::string &Reason);
   void onAttemptFailed(const std::string &Reason, bool AttemptMayHaveRun);
   bool mayTryNextTarget(placement::send_result Result);
   bool tryAcquireRetry();
@@ -100,6 +107,7 @@
   void respondWithError(unsigned Status, const std::string &Reason,
                         std::optional<std::chrono::nanoseconds> RetryAfter);
   void logLostResponse();
+  void logBrokenResponse(const std::string &Reason);
   void logRequest(unsigned Status, const char *Outcome);
   void logFailedAttempt(const attempt &Attempt, const std::string &Reason,
                         bool AttemptMayHaveRun);
@@ -116,6 +124,10 @@
   net::one_shot_timer NextAttemptTimer;
   std::vector<attempt> Attempts;
   std::optional<net::http_response> TargetErrorResponse;
+  /// Set while a response is sent on to the caller in pieces.
+  std::optional<response_relay> Relay;
+  /// Index of the attempt that Relay belongs to.
+  std::size_t RelayedAttempt = 0;
   std::string LastFailureReason;
   unsigned ColdWaits = 0;
   /// Number of targets to which no connection could be opened; nothing was
@@ -124,7 +136,7 @@
   /// A target may have executed the request.
   bool MayHaveRun = false;
   bool TimedOut = false;
-  /// The caller has a response or has disconnected.
+  /// The caller has a response or the start of one, or has disconnected.
   bool Done = false;
 };
 
--- a/src/gateway/detail/exchange_log.cpp
+++ b/src/gateway/detail/exchange_log.cpp
@@ -45,6 +45,26 @@
       });
 }
 
+void exchange::logBrokenResponse(const std::string &Reason) {
+  const auto Now = base::boot_clock::now();
+  const attempt &Attempt = Attempts[RelayedAttempt];
+  LastFailureReason = Reason;
+  Context.Metrics
+      .counter("skylarkdyke_responses_broken_total",
+               "Responses that ended early while they were sent to the caller",
+               {})
+      .add();
+  SKYLARKDYKE_DECISION(
+      Context.Log, ResponseBroken, Now,
+      {{"request", requestHeader(Context.Headers.RequestId)},
+       {"target", Attempt.Chosen.Id.str()},
+       {"reason", Reason},
+       {"body_bytes", static_cast<std::int64_t>(Relay->passedBytes())},
+       {"waited_for_caller_ms", Relay->waitedForCaller()},
+       {"took_ms", nanoseconds(Now - Attempt.SentAt)}});
+  logRequest(0, "broken_response");
+}
+
 void exchange::logRequest(unsigned Status, const char *Outcome) {
   const auto Now = base::boot_clock::now();
   const std::string RequestId = requestHeader(Context.Headers.RequestId);
--- a/src/gateway/detail/send_outcome.cpp
+++ b/src/gateway/detail/send_outcome.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <boost/beast/http/rfc7230.hpp>
+#include <cstdlib>
 #include <vector>
 
 namespace skylarkdyke::gateway::detail {
@@ -9,6 +10,10 @@
 namespace bhttp = boost::beast::http;
 using placement::send_result;
 
+/// A body whose stated length is at most this is collected, so that another
+/// target can be tried if it ends early.
+static constexpr std::uint64_t MaxCollectedBytes = 16384;
+
 static constexpr std::array<bhttp::field, 9> HopByHopHeaders = {
     bhttp::field::connection,
     bhttp::field::keep_alive,
@@ -31,7 +36,7 @@
     Fields.erase(Field);
 }
 
-bool belongsToRequest(const net::http_response &Response,
+bool belongsToRequest(const net::http_response_head &Response,
                       const header_names &Headers, const std::string &RequestId,
                       bool IsFirstOnConnection) {
   const auto Id = Response[Headers.RequestId];
@@ -39,12 +44,23 @@
                     : Id == RequestId;
 }
 
-bool isTargetError(const net::http_response &Response) {
+bool isTargetError(const net::http_response_head &Response) {
   return Response.result_int() >= 500;
 }
 
-static send_outcome classifyResponse(net::http_response Response,
-                                     const header_names &Headers) {
+std::optional<std::uint64_t>
+bodyLength(const net::http_response_head &Response) {
+  const std::string Text(Response[bhttp::field::content_length]);
+  if (Text.empty())
+    return std::nullopt;
+  return std::strtoull(Text.c_str(), nullptr, 10);
+}
+
+/// Returns why a response is not the one of the target to the request, or
+/// nothing if it is.
+static std::optional<send_outcome>
+findRejection(const net::http_response_head &Response,
+              const header_names &Headers) {
   const unsigned Status = Response.result_int();
   if (Status == 421)
     return not_executed{send_result::WrongTarget, "wrong_target"};
@@ -58,6 +74,21 @@
   // the target.
   if (Response.count(bhttp::field::content_encoding) != 0)
     return unknown_outcome{send_result::Broken, "encoded_answer"};
+  return std::nullopt;
+}
+
+bool mayBeStreamed(const net::http_response_head &Response,
+                   const header_names &Headers, unsigned CallerVersion) {
+  if (isTargetError(Response) || findRejection(Response, Headers))
+    return false;
+  const auto Length = bodyLength(Response);
+  return Length ? *Length > MaxCollectedBytes : CallerVersion >= 11;
+}
+
+static send_outcome classifyResponse(net::http_response Response,
+                                     const header_names &Headers) {
+  if (auto Rejection = findRejection(Response, Headers))
+    return std::move(*Rejection);
   return response_received{std::move(Response)};
 }
 
--- a/src/gateway/detail/send_outcome.hpp
+++ b/src/gateway/detail/send_outcome.hpp
@@ -5,6 +5,8 @@
 #include "skylarkdyke/net/http_channel.hpp"
 #include "skylarkdyke/placement/target_registry.hpp"
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -40,13 +42,23 @@
 /// A target repeats the id of the request. A response without an id is accepted
 /// only as the first one on its connection: on a connection that was used
 /// before, it may be a late copy of an earlier response.
-bool belongsToRequest(const net::http_response &Response,
+bool belongsToRequest(const net::http_response_head &Response,
                       const header_names &Headers, const std::string &RequestId,
                       bool IsFirstOnConnection);
 
 /// \brief Returns whether a response reports an error of the target, that is
 /// a status of 500 or above.
-bool isTargetError(const net::http_response &Response);
+bool isTargetError(const net::http_response_head &Response);
+
+/// \brief Returns whether a response can be sent on before it is complete: it
+/// is final whatever its body is, and worth it for its size.
+/// \param CallerVersion HTTP version of the caller, 11 for HTTP/1.1
+bool mayBeStreamed(const net::http_response_head &Response,
+                   const header_names &Headers, unsigned CallerVersion);
+
+/// \brief Returns the stated length of the body.
+std::optional<std::uint64_t>
+bodyLength(const net::http_response_head &Response);
 
 /// \brief Creates the request that is sent to a target.
 /// \param Target the only target that may execute the request
