--- a/include/skylarkdyke/base/event.hpp
+++ b/include/skylarkdyke/base/event.hpp
@@ -60,6 +60,7 @@
   SendFailed = 506,
   ResponseLost = 507,
   RequestUnreadable = 508,
+  ResponseBroken = 509,
   TargetLeaving = 510,
   TargetPauses = 511,
   RetryAfterUnusual = 512,
