--- a/include/skylarkdyke/membership/share_holders.hpp
+++ b/include/skylarkdyke/membership/share_holders.hpp
@@ -101,7 +101,6 @@
   struct holder {
     std::uint64_t Incarnation = 0;
     share_weights Weights;
-    bool Leaving = false;
     /// Incarnations that the entry hears.
     std::vector<std::uint64_t> Heard;
     base::boot_time LiveUntil{};
--- a/src/membership/share_holders.cpp
+++ b/src/membership/share_holders.cpp
@@ -121,7 +121,6 @@
   holder &Holder = Holders[Status.MeshAddress];
   Holder.Incarnation = Status.Incarnation;
   Holder.Weights = weightsOf(Status);
-  Holder.Leaving = Status.Leaving;
   Holder.Heard = Status.HeardIncarnations;
   Holder.LiveUntil = LiveUntil;
   Holder.ReservedUntil =
