--- a/src/net/detail/session.hpp
+++ b/src/net/detail/session.hpp
@@ -179,6 +179,8 @@
   std::optional<parser> Parser;
   /// Limits under which the current request is read.
   base::message_limits ReadLimits;
+  /// Header of a request whose body is being read.
+  http_request::header_type Header;
   http_request Request;
   http_response Response;
   /// Response that is sent in pieces; null once its last piece was given.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -97,8 +97,7 @@
   Parser.emplace();
   Parser->header_limit(static_cast<std::uint32_t>(std::min<std::size_t>(
       ReadLimits.MaxHeaderBytes, std::numeric_limits<std::uint32_t>::max())));
-  // The length of the body is checked once the header is read, with the limit
-  // of then.
+  // onHeader() checks the length of the body with the limit of then.
   Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
   closeAt(base::boot_clock::now() + ReadLimits.HeaderTimeout);
   bhttp::async_read_header(
@@ -111,8 +110,12 @@
 void session::onHeader(const error_code &Failure) {
   if (Failure)
     return rejectUnreadable(Failure);
+  if (const char *Reason = detail::findAmbiguity(Parser->get()))
+    return reject(400, Reason);
   if (Parser->is_done())
     return onBody({});
+  // The parser adds the trailers to the header.
+  Header = Parser->get().base();
   ReadLimits.MaxBodyBytes = Server->Limits().MaxBodyBytes;
   Parser->body_limit(ReadLimits.MaxBodyBytes);
   if (Parser->content_length().value_or(0) > ReadLimits.MaxBodyBytes)
@@ -143,10 +146,10 @@
   Timer.cancel();
   PeerKeepsAlive = Parser->keep_alive();
   Request = Parser->release();
+  if (Request.chunked())
+    Request.base() = std::move(Header);
   ArrivedAt = base::boot_clock::now();
   Answerable = true;
-  if (Request.count(bhttp::field::host) > 1)
-    return answer(makeResponse(400, "more than one Host header\n"));
   watchForDisconnect();
   Server->OnRequest(shared_from_this());
 }
@@ -186,18 +189,16 @@
 /// Responds with an error status to a request that exceeds a limit or cannot
 /// be parsed; closes the connection on any other read error.
 void session::rejectUnreadable(const error_code &Failure) {
-  const auto Status = detail::statusOf(Failure);
-  if (!Status)
-    return closeSocket();
-  reject(*Status, Failure.message());
+  if (const auto Status = detail::statusOf(Failure))
+    return reject(*Status, Failure.message());
+  closeSocket();
 }
 
 void session::reject(unsigned Status, const std::string &Reason) {
   PeerKeepsAlive = false;
   Answerable = true;
-  const std::size_t Limit = Status == 431
-                                ? ReadLimits.MaxHeaderBytes
-                                : (Status == 413 ? ReadLimits.MaxBodyBytes : 0);
+  const std::size_t Limit =
+      Status == 413 ? ReadLimits.MaxBodyBytes : ReadLimits.MaxHeaderBytes;
   answer(Server->OnUnreadable({Status, Reason, Limit, Parser->get()}));
 }
 
