Let the tests of streamed responses wait for the loop to be idle

With AddressSanitizer, IncompleteBodiesFail, DeliversTheHeadBeforeTheBody and SendsEachPieceAtOnceInBothFramings failed: "expected <1> but was <0>". They looked after 5 to 10 ms, before a slow process had handled the bytes. They now run the loop until nothing has happened for 20 ms; the checks are the same.

All 49 tests of net_channel* and net_server* then pass with the address and undefined sanitizers, without a report. With detect_stack_use_after_return=1 as well, 48 pass, and net_channel.EndsAChunkedBodyWithoutEnd prints "but was <deadline_passed>" after 3 s (134 ms without that option). Whether it did so before this work was not measured.

--- a/tests/unit-net-channel-streaming.cpp
+++ b/tests/unit-net-channel-streaming.cpp
@@ -63,16 +63,22 @@
            Result.emplace(std::move(CallResult));
          }});
     Acceptor.async_accept(Peer, [](auto) {});
-    runFor(10ms);
+    settle();
   }
   void runFor(std::chrono::milliseconds Time) {
     Loop.restart();
     Loop.run_for(Time);
   }
+  /// Runs the loop until nothing has happened for a while.
+  void settle() {
+    Loop.restart();
+    while (Loop.run_one_for(20ms) > 0) {
+    }
+  }
   void peerSends(const std::string &Bytes) {
     boost::system::error_code Ignored;
     boost::asio::write(Peer, boost::asio::buffer(Bytes), Ignored);
-    runFor(5ms);
+    settle();
   }
   void peerEnds(bool WithReset) {
     // A close would reset the connection, too: the request was not read.
@@ -80,7 +86,7 @@
       Peer.shutdown(tcp::socket::shutdown_send);
     else
       Peer.close();
-    runFor(10ms);
+    settle();
   }
   /// The whole body that the observer got.
   std::string body() {
@@ -237,7 +243,7 @@
         Result.emplace(std::move(CallResult));
       });
   Acceptor.async_accept(Peer, [](auto) {});
-  runFor(10ms);
+  settle();
   for (int Copy = 0; Copy < 2; ++Copy) {
     peerSends(Ok + "X-Id: other\r\nContent-Length: 480000\r\n\r\n");
     for (int Piece = 0; Piece < 16; ++Piece)
--- a/tests/unit-net-server-streaming.cpp
+++ b/tests/unit-net-server-streaming.cpp
@@ -35,15 +35,17 @@
     Loop.poll();
   }
 
-  void runFor(std::chrono::milliseconds Time) {
+  /// Runs the loop until nothing has happened for a while.
+  void settle() {
     Loop.restart();
-    Loop.run_for(Time);
+    while (Loop.run_one_for(20ms) > 0) {
+    }
   }
   /// Sends a request and starts its response.
   net::pending_request &begin(const test_support::raw_client &Client,
                               std::optional<std::uint64_t> Length) {
     Client.send(GetRequest);
-    runFor(10ms);
+    settle();
     CHECK(!Received.empty());
     net::http_response_head Head;
     Head.result(200);
@@ -53,7 +55,7 @@
   void write(net::pending_request & Request, const std::string &Piece,
              bool Last) {
     Request.writePiece(Piece, Last, [this] { ++Written; });
-    runFor(10ms);
+    settle();
   }
 };
 
@@ -78,7 +80,7 @@
   STRCMP_EQUAL("0\r\n\r\n", Client.receive().c_str());
   CHECK(!Client.isClosed());
   Client.send(GetRequest);
-  runFor(10ms);
+  settle();
   LONGS_EQUAL(3, Received.size());
 }
 
@@ -88,7 +90,7 @@
   net::pending_request &Request = begin(Client, std::nullopt);
   write(Request, "part", false);
   Request.abandon();
-  runFor(10ms);
+  settle();
   const std::string Bytes = Client.receive();
   STRCMP_CONTAINS("4\r\npart\r\n", Bytes.c_str());
   CHECK(Bytes.find("0\r\n\r\n") == std::string::npos);
@@ -104,10 +106,10 @@
   const test_support::raw_client Client(Address);
   net::pending_request &Request = begin(Client, std::nullopt);
   write(Request, std::string(30U << 20U, 'x'), false);
-  runFor(100ms);
+  settle();
   LONGS_EQUAL(0, Written);
   Request.abandon();
-  runFor(20ms);
+  settle();
   LONGS_EQUAL(0, Written);
   CHECK(!Left);
   LONGS_EQUAL(0, Server->activeRequests());
@@ -124,7 +126,7 @@
     write(Request, std::string(PieceSize, 'x'), false);
     CHECK(!Left);
     Client.close();
-    runFor(20ms);
+    settle();
     CHECK(Left);
     LONGS_EQUAL(0, Server->activeRequests());
   }
@@ -137,7 +139,7 @@
   write(Request, "one", false);
   Server->drain();
   Server->stopAccepting();
-  runFor(20ms);
+  settle();
   CHECK(!Client.isClosed() && Server->activeRequests() == 1);
   write(Request, "two", true);
   const std::string Bytes = Client.receive();
