--- a/src/gateway/detail/target_signals.cpp
+++ b/src/gateway/detail/target_signals.cpp
@@ -44,9 +44,8 @@
   Signals.Leaving = std::any_of(
       Headers.Leaving.begin(), Headers.Leaving.end(),
       [&Head](const std::string &Name) { return Head[Name] == "1"; });
-  const bool Refused =
-      Head.result_int() == 503 && Head.count(Headers.NotExecuted) != 0;
-  if (Refused && Head.count(bhttp::field::retry_after) != 0)
+  // Whether the target has run the request does not matter for the pause.
+  if (Head.result_int() == 503 && Head.count(bhttp::field::retry_after) != 0)
     readPause(std::string(Head[bhttp::field::retry_after]), Signals);
   return Signals;
 }
