Revert "Use busy targets last while they may be cold unnoticed"

Its code and its two tests go with it (placement_placer.ABusyTargetIsUsedLastWhileItMayBeCold and membership_fleet.EntriesKnowWhetherARelay...).

--- a/include/skylarkdyke/membership/member_table.hpp
+++ b/include/skylarkdyke/membership/member_table.hpp
@@ -10,7 +10,6 @@
 #include <chrono>
 #include <cstddef>
 #include <map>
-#include <optional>
 #include <set>
 #include <vector>
 
@@ -112,9 +111,6 @@
 
   /// \return whether this entry is a relay of its region
   bool isRelay() const { return LocalRelays.count(OwnMesh) != 0; }
-  /// \brief Returns whether a relay of the region, apart from this entry,
-  /// reaches the store; nothing if no other relay is heard.
-  std::optional<bool> otherRelaysReachStore(base::boot_time Now) const;
   /// \return whether the own region has entries that only the relays hear
   bool sendsDigests() const { return isRelay() && !FullMesh; }
 
--- a/include/skylarkdyke/placement/placer.hpp
+++ b/include/skylarkdyke/placement/placer.hpp
@@ -125,13 +125,6 @@
   }
   const cold_rate_share &coldRateShares() const { return ColdRateShare; }
 
-  /// \brief Sets whether targets may have become cold without this entry's
-  /// knowledge, because the store is unreachable: an evacuation may have
-  /// started and ended meanwhile. A target whose load shows that it gets more
-  /// than a small multiple of its cold rate is then used only if all others do,
-  /// too.
-  void setColdStateUnknown(bool Unknown) { ColdStateUnknown = Unknown; }
-
   /// \brief Sets the demand: requests per second from the callers of each
   /// region.
   void setDemand(const base::service_name &Service,
@@ -197,8 +190,6 @@
                          base::boot_time Now) const;
   double coldRateShare(const target_state &State,
                        const routing::service &Service) const;
-  bool isBusyForCold(const candidate &Candidate, const placement_query &Query,
-                     const processing_time_estimate &Estimate) const;
   const candidate *unusedTarget(const std::vector<candidate> &Candidates,
                                 const placement_query &Query,
                                 base::boot_time Now) const;
@@ -209,7 +200,6 @@
   target_registry &Registry;
   base::region_name OwnRegion;
   cold_rate_share ColdRateShare;
-  bool ColdStateUnknown = false;
   processing_time_model ProcessingTimes;
   admission::admission_controller Admission;
   std::unordered_map<base::service_name, std::map<base::region_name, double>>
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -69,7 +69,6 @@
   void stop(base::boot_time RequestedAt);
   void tick();
   void updateShares(base::boot_time Now);
-  bool isStoreUnreachable(base::boot_time Now) const;
   bool shouldWatchStore(base::boot_time Now) const;
   bool isReady() const { return State.isComplete() && !Stopping; }
   membership::entry_status ownStatus();
@@ -290,15 +289,6 @@
   }
 }
 
-/// While no relay of the region reaches the store, an evacuation may start and
-/// end unnoticed, so that its targets are cold.
-bool gateway::impl::isStoreUnreachable(base::boot_time Now) const {
-  const auto OthersReachStore = Members.otherRelaysReachStore(Now);
-  if (Watching ? !State.isStoreDown() : !OthersReachStore)
-    return false;
-  return !OthersReachStore.value_or(false);
-}
-
 void gateway::impl::tick() {
   const auto Now = base::boot_clock::now();
   if (NextTickAt != base::boot_time{}) {
@@ -328,7 +318,6 @@
   TargetRegistry.sweep(Now);
   Pool.sweep(Now);
   updateShares(Now);
-  Placer.setColdStateUnknown(State.isComplete() && isStoreUnreachable(Now));
   Log.flush();
   NextTickAt = base::boot_clock::now() +
                (isReady() || Stopping ? TickPeriod : StartTickPeriod);
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -198,18 +198,6 @@
       });
 }
 
-std::optional<bool>
-member_table::otherRelaysReachStore(base::boot_time Now) const {
-  std::optional<bool> ReachStore;
-  for (const base::endpoint &Relay : LocalRelays) {
-    const auto Found = Members.find(Relay);
-    if (Found != Members.end() && Now <= Found->second.LiveUntil)
-      ReachStore =
-          ReachStore.value_or(false) || Found->second.Status.StoreReachable;
-  }
-  return ReachStore;
-}
-
 due_heartbeats member_table::takeDueHeartbeats(base::boot_time Now) {
   // Relays become known from digests, so that they may not be contacts yet.
   for (const auto *Receivers : {&LocalRelays, &RemoteReceivers})
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -34,9 +34,6 @@
 /// applies if this entry's share is 0 because the target's region has entries
 /// of its own.
 static constexpr double MinColdRate = 0.1;
-/// Rate of requests that a target may get while it may be cold unnoticed, as a
-/// multiple of its cold rate. Most targets are warm then.
-static constexpr double UnknownColdFactor = 3;
 /// Age from which a target that joined and is still unused gets a request
 /// regardless of its cost. The delay gives the target time to settle.
 static constexpr milliseconds FirstUseDelay{1500};
@@ -72,8 +69,6 @@
 /// used.
 struct placer::best_candidates {
   const candidate *Healthy = nullptr;
-  /// The least loaded of those that get too many requests for a cold target.
-  const candidate *LeastLoaded = nullptr;
   const candidate *Leaving = nullptr;
   const candidate *Ejected = nullptr;
   /// Earliest time at which a cold candidate that was left out may be used.
@@ -332,22 +327,6 @@
         (WarmingCostFactor * Candidate.Load / Slots));
 }
 
-/// Returns whether the load of a target that may be cold unnoticed shows that
-/// it gets too many requests: by Little's law the load is the rate times the
-/// processing time.
-bool placer::isBusyForCold(const candidate &Candidate,
-                           const placement_query &Query,
-                           const processing_time_estimate &Estimate) const {
-  if (!ColdStateUnknown || Query.Service->ColdRequestsPerSecond <= 0)
-    return false;
-  const std::chrono::duration<double> ProcessingTime =
-      Estimate.expected(FirstRankWarmProbability) *
-      Candidate.State->LatencyRatio;
-  return Candidate.Load > UnknownColdFactor *
-                              Query.Service->ColdRequestsPerSecond *
-                              ProcessingTime.count();
-}
-
 bool placer::hasCapacity(const candidate &Best, const placement_query &Query,
                          base::boot_time Now) {
   if (Best.Load >= MaxLoadPerSlot * Best.State->Target.Slots)
@@ -397,13 +376,6 @@
     }
     score(Candidate, Rank, Query, Estimate, Now);
     const bool Ejected = State.EjectedUntil > Now || State.ProbeInFlight;
-    if (!Ejected && !State.UsableUntil &&
-        isBusyForCold(Candidate, Query, Estimate)) {
-      if (Best.LeastLoaded == nullptr ||
-          Candidate.Load < Best.LeastLoaded->Load)
-        Best.LeastLoaded = &Candidate;
-      continue;
-    }
     const candidate *&BestOfGroup = Ejected             ? Best.Ejected
                                     : State.UsableUntil ? Best.Leaving
                                                         : Best.Healthy;
@@ -435,8 +407,7 @@
   if (Candidates.empty())
     return explainNoCandidate(Query, Now);
   const best_candidates Groups = findBest(Candidates, Query, Now);
-  const candidate *Best =
-      Groups.Healthy != nullptr ? Groups.Healthy : Groups.LeastLoaded;
+  const candidate *Best = Groups.Healthy;
   if (Best == nullptr)
     Best = Groups.Leaving != nullptr ? Groups.Leaving : Groups.Ejected;
   if (Best == nullptr)
--- a/tests/unit-membership-fleet.cpp
+++ b/tests/unit-membership-fleet.cpp
@@ -157,27 +157,6 @@
                     0);
 }
 
-// Guards against entries that do not notice that no relay of their region
-// reaches the store any more.
-TEST(membership_fleet, EntriesKnowWhetherARelayReachesTheStore) {
-  for (const std::size_t Size : {12, 90}) {
-    fleet Fleet(Size, 0);
-    Fleet.run(8s);
-    for (const fleet_entry &Entry : Fleet.Entries)
-      CHECK(Entry.Table->otherRelaysReachStore(Fleet.Now).value());
-    for (fleet_entry &Entry : Fleet.Entries)
-      Entry.Own.StoreReachable = false;
-    Fleet.run(6s);
-    for (const fleet_entry &Entry : Fleet.Entries)
-      CHECK_FALSE(Entry.Table->otherRelaysReachStore(Fleet.Now).value());
-    fleet_entry &Last = Fleet.Entries.back();
-    for (std::size_t Other = 0; Other < Size; ++Other)
-      Fleet.Cut.insert({Other, Size - 1});
-    Fleet.run(6s);
-    CHECK_FALSE(Last.Table->otherRelaysReachStore(Fleet.Now).has_value());
-  }
-}
-
 // Guards against messages of the whole fleet that grow with the square of its
 // size.
 TEST(membership_fleet, MessagesOfAnEntryDoNotGrowWithTheFleet) {
--- a/tests/unit-placement-placer.cpp
+++ b/tests/unit-placement-placer.cpp
@@ -192,29 +192,6 @@
   CHECK(Sent <= 1.5 * Service.ColdRequestsPerSecond + 5);
 }
 
-// Guards against a concentration of requests on a target that has become cold
-// unnoticed: an evacuation has started and ended while the store was
-// unreachable.
-TEST(placement_placer, ABusyTargetIsUsedLastWhileItMayBeCold) {
-  Service.ColdRequestsPerSecond = 2;
-  addTargets(3, NorthA);
-  std::string First;
-  for (int I = 0; I < 20; ++I)
-    First = serve(1, 270ms);
-  const auto ReportLoad = [&](const std::string &Id, unsigned Running) {
-    Registry.recordReportedLoad(base::target_id(Id), {Running, 0, 4}, Now);
-  };
-  ReportLoad(First, 3);
-  STRCMP_EQUAL(First.c_str(), choose(query(1)).c_str());
-  Placer.setColdStateUnknown(true);
-  CHECK(First != choose(query(1)));
-  for (const char *Id : {"north-a0", "north-a1", "north-a2"})
-    ReportLoad(Id, First == Id ? 3 : 4);
-  STRCMP_EQUAL(First.c_str(), choose(query(1)).c_str());
-  ReportLoad(First, 1);
-  STRCMP_EQUAL(First.c_str(), choose(query(1)).c_str());
-}
-
 // Guards against a target that fails fast and, because it is always free,
 // attracts all traffic.
 TEST(placement_placer, FailingTargetIsEjected) {
