--- a/tests/system-serve-faults.cpp
+++ b/tests/system-serve-faults.cpp
@@ -222,6 +222,17 @@
     const std::string Name = std::string(Cut.Name) + (Cut.Reset ? " r" : " c");
     const std::string Response = ask("POST", "/once/cut", "cut");
     LONGS_EQUAL_TEXT(1, Target.received("/once/cut"), Name.c_str());
+    // A body without a stated length may have been started; then it must not
+    // look complete.
+    const bool MayBeStarted = Name.find("chunk") != std::string::npos ||
+                              Name.find("no length") != std::string::npos;
+    if (MayBeStarted && statusOf(Response) == "200") {
+      CHECK_TEXT(Response.find("Transfer-Encoding: chunked") !=
+                     std::string::npos,
+                 Name.c_str());
+      CHECK_TEXT(Response.find("\r\n0\r\n") == std::string::npos, Name.c_str());
+      continue;
+    }
     STRCMP_EQUAL_TEXT("502", statusOf(Response).c_str(), Name.c_str());
     CHECK_TEXT(Response.find("signed") == std::string::npos, Name.c_str());
   }
