--- a/tests/support/served_entry.cpp
+++ b/tests/support/served_entry.cpp
@@ -14,20 +14,22 @@
 using namespace std::chrono_literals;
 
 served_entry::served_entry(const base::endpoint &Store,
-                           std::chrono::seconds Grace)
+                           std::chrono::seconds Grace,
+                           const std::optional<base::endpoint> &Seed)
     : Front{"127.0.0.1", freePort()}, Readiness{"127.0.0.1", freePort()},
+      Mesh{"127.0.0.1", freePort()},
       Folder(std::filesystem::temp_directory_path() /
              ("skylarkdyke-served-" + std::to_string(Front.Port))) {
   std::filesystem::create_directories(Folder);
-  const std::string Mesh =
-      base::toString(base::endpoint{"127.0.0.1", freePort()});
   std::ofstream(Folder / "entry.toml")
-      << "[self]\nnode_name = \"e0\"\nzone = \"z\"\nregion = \"r\"\n"
+      << "[self]\nnode_name = \"e" << Front.Port
+      << "\"\nzone = \"z\"\nregion = \"r\"\n"
       << "[self.limits]\ncpu_share = 0.2\nmax_fds = 1000\nmemory_mb = 160\n"
-      << "[network]\nseeds = [\"" << Mesh << "\"]\n"
+      << "[network]\nseeds = [\"" << base::toString(Seed.value_or(Mesh))
+      << "\"]\n"
       << "[network.bind]\nfront = \"" << base::toString(Front)
       << "\"\nreadiness = \"" << base::toString(Readiness) << "\"\ncontrol = \""
-      << Mesh << "\"\n[network.zones]\nz = \"r\"\n"
+      << base::toString(Mesh) << "\"\n[network.zones]\nz = \"r\"\n"
       << "[provider.provider]\naddress = \"" << base::toString(Store)
       << "\"\n[terms.bounds]\ngrace_s = " << Grace.count()
       << "\nretry_budget_ratio = 0.2\nretry_slack = 60\n";
--- a/tests/support/served_entry.hpp
+++ b/tests/support/served_entry.hpp
@@ -16,8 +16,11 @@
 public:
   /// \param Store address of the stand-in's store
   /// \param Grace time from a stop signal until the platform ends the process
-  explicit served_entry(const skylarkdyke::base::endpoint &Store,
-                        std::chrono::seconds Grace = std::chrono::seconds(4));
+  /// \param Seed mesh address of another entry; its own by default
+  explicit served_entry(
+      const skylarkdyke::base::endpoint &Store,
+      std::chrono::seconds Grace = std::chrono::seconds(4),
+      const std::optional<skylarkdyke::base::endpoint> &Seed = std::nullopt);
   ~served_entry();
   served_entry(const served_entry &) = delete;
   served_entry &operator=(const served_entry &) = delete;
@@ -30,11 +33,14 @@
   bool isReady() const;
 
   const skylarkdyke::base::endpoint &front() const { return Front; }
+  const skylarkdyke::base::endpoint &mesh() const { return Mesh; }
+  const std::filesystem::path &folder() const { return Folder; }
   process &program() { return *Process; }
 
 private:
   skylarkdyke::base::endpoint Front;
   skylarkdyke::base::endpoint Readiness;
+  skylarkdyke::base::endpoint Mesh;
   std::filesystem::path Folder;
   std::optional<process> Process;
 };
