Log the fingerprint and the caller of attempts without a response

The log could not tell whether one request ends several targets or several requests one each: a repetition has another id.

The operators' formatting of fingerprints moves to poison/fingerprint.

--- a/include/skylarkdyke/net/http_server.hpp
+++ b/include/skylarkdyke/net/http_server.hpp
@@ -27,6 +27,10 @@
   /// \brief Returns the time at which the last byte of the request was read.
   virtual base::boot_time arrivedAt() const = 0;
 
+  /// \brief Returns the address of the caller, without port; empty if the
+  /// connection was closed before it was known.
+  virtual const std::string &callerAddress() const = 0;
+
   /// \brief Sends the response. Only the first call of answer() or
   /// startResponse() has an effect.
   virtual void answer(http_response Response) = 0;
--- a/include/skylarkdyke/poison/crash_register.hpp
+++ b/include/skylarkdyke/poison/crash_register.hpp
@@ -3,6 +3,7 @@
 
 #include "skylarkdyke/base/clock.hpp"
 #include "skylarkdyke/base/names.hpp"
+#include "skylarkdyke/poison/fingerprint.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -46,12 +47,6 @@
   base::wall_time BlockedUntil;
 };
 
-/// \brief Hash of a request (XXH3). It is the same for all repetitions of a
-/// request, independent of their idempotency keys.
-std::uint64_t fingerprintOf(const base::service_name &Service,
-                            const std::string &Method, const std::string &Path,
-                            const std::string &Body);
-
 /// \brief Counts crashes by request fingerprint and blocks requests that
 /// repeatedly crash targets.
 ///
--- a/src/gateway/detail/exchange.hpp
+++ b/src/gateway/detail/exchange.hpp
@@ -13,6 +13,7 @@
 #include "skylarkdyke/net/http_server.hpp"
 #include "skylarkdyke/net/one_shot_timer.hpp"
 #include "skylarkdyke/placement/placer.hpp"
+#include "skylarkdyke/poison/fingerprint.hpp"
 #include "skylarkdyke/telemetry/decision_log.hpp"
 
 #include <limits>
@@ -119,6 +120,7 @@
   void logFailedAttempt(const attempt &Attempt, const std::string &Reason,
                         bool AttemptMayHaveRun);
   std::string requestHeader(const std::string &Name) const;
+  const poison::request_identity &identity();
 
   steering_context &Context;
   std::shared_ptr<std::unordered_set<exchange *>> Running;
@@ -126,6 +128,8 @@
   /// Keeps Query.Route valid when the configuration changes.
   std::shared_ptr<const routing::route_table> Routes;
   placement::placement_query Query;
+  /// Computed when it is first needed, because it takes the whole body.
+  std::optional<poison::request_identity> Identity;
   /// Delays an attempt while the rate limit of cold targets is reached; while
   /// an attempt runs, triggers the hedged attempt.
   net::one_shot_timer NextAttemptTimer;
--- a/src/net/detail/session.hpp
+++ b/src/net/detail/session.hpp
@@ -66,6 +66,10 @@
       : Server(std::move(Owner)), Socket(std::move(Socket)),
         Timer(Server->Loop) {
     Server->Sessions.insert(this);
+    error_code Failure;
+    const auto Peer = this->Socket.remote_endpoint(Failure);
+    if (!Failure)
+      CallerAddress = Peer.address().to_string();
   }
   ~session() override {
     setActive(false);
@@ -87,6 +91,7 @@
 
   const http_request &request() const override { return Request; }
   base::boot_time arrivedAt() const override { return ArrivedAt; }
+  const std::string &callerAddress() const override { return CallerAddress; }
   bool hasCallerDisconnected() const override {
     return peek() == peer_state::Disconnected;
   }
@@ -185,6 +190,7 @@
   http_response Response;
   /// Response that is sent in pieces; null once its last piece was given.
   std::shared_ptr<response_stream> Stream;
+  std::string CallerAddress;
   base::boot_time ArrivedAt{};
   base::boot_time IdleSince{};
   std::function<void()> OnDisconnected;
--- a/src/operators/admin_service.cpp
+++ b/src/operators/admin_service.cpp
@@ -168,7 +168,7 @@
   json List = json::array();
   for (const poison::blocked_request &Blocked : Entry.Blocked())
     List.push_back(
-        {{"fingerprint", detail::formatFingerprint(Blocked.Fingerprint)},
+        {{"fingerprint", poison::toString(Blocked.Fingerprint)},
          {"service", Blocked.Service.str()},
          {"request", Blocked.Summary},
          {"crashes", Blocked.Crashes},
--- a/src/operators/detail/actions.cpp
+++ b/src/operators/detail/actions.cpp
@@ -10,7 +10,7 @@
   if (!Entry.Release(Fingerprint))
     return false;
   SKYLARKDYKE_LOG(INFO, BlockReleased)
-      << formatFingerprint(Fingerprint) << " by " << Operator.str();
+      << poison::toString(Fingerprint) << " by " << Operator.str();
   return true;
 }
 
--- a/src/operators/detail/pages.cpp
+++ b/src/operators/detail/pages.cpp
@@ -320,7 +320,7 @@
          << "</td><td><form method=\"post\" "
             "action=\"/console/poisoned/release\">"
          << TokenField << "<input type=\"hidden\" name=\"fingerprint\" value=\""
-         << formatFingerprint(Request.Fingerprint)
+         << poison::toString(Request.Fingerprint)
          << "\"><button>Release</button></form></td></tr>\n";
   return Text << "</table>\n";
 }
--- a/src/operators/detail/status.cpp
+++ b/src/operators/detail/status.cpp
@@ -22,10 +22,6 @@
          Remaining == 0;
 }
 
-std::string formatFingerprint(std::uint64_t Fingerprint) {
-  return base::toString(base::incarnation_id{Fingerprint});
-}
-
 std::optional<std::uint64_t> parseHex(const std::string &Text) {
   std::uint64_t Value = 0;
   const char *End = Text.data() + Text.size();
--- a/src/operators/detail/status.hpp
+++ b/src/operators/detail/status.hpp
@@ -94,9 +94,6 @@
 std::size_t countInForce(const std::vector<entries::member> &Members,
                          std::uint64_t Version);
 
-/// \brief Formats a fingerprint as 16 hexadecimal digits.
-std::string formatFingerprint(std::uint64_t Fingerprint);
-
 /// \brief Parses 1 to 16 hexadecimal digits.
 std::optional<std::uint64_t> parseHex(const std::string &Text);
 
--- a/src/poison/crash_register.cpp
+++ b/src/poison/crash_register.cpp
@@ -5,7 +5,6 @@
 #include <list>
 #include <unordered_map>
 #include <unordered_set>
-#include <xxhash.h>
 
 namespace skylarkdyke::poison {
 
@@ -54,25 +53,8 @@
   }
 };
 
-void hashField(XXH3_state_t *State, const std::string &Field) {
-  const std::uint64_t Size = Field.size();
-  XXH3_64bits_update(State, &Size, sizeof Size);
-  XXH3_64bits_update(State, Field.data(), Field.size());
-}
-
 } // namespace
 
-std::uint64_t fingerprintOf(const base::service_name &Service,
-                            const std::string &Method, const std::string &Path,
-                            const std::string &Body) {
-  const std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> State(
-      XXH3_createState(), XXH3_freeState);
-  XXH3_64bits_reset(State.get());
-  for (const std::string *Field : {&Service.str(), &Method, &Path, &Body})
-    hashField(State.get(), *Field);
-  return XXH3_64bits_digest(State.get());
-}
-
 struct crash_register::impl {
   explicit impl(std::size_t MaxFingerprints)
       : MaxFingerprints(std::max<std::size_t>(1, MaxFingerprints)),
