--- /dev/null
+++ b/tests/unit-gateway-crashes.cpp
@@ -0,0 +1,226 @@
+#include "gateway/detail/crash_guard.hpp"
+#include "gateway/detail/state_codec.hpp"
+#include "support/free_port.hpp"
+
+#include <fcntl.h>
+#include <memory>
+#include <unistd.h>
+#include <vector>
+
+// Last, because it redefines "new".
+#include <CppUTest/TestHarness.h>
+
+using namespace skylarkdyke;
+using namespace std::chrono_literals;
+using gateway::detail::crash_guard;
+using gateway::detail::crash_update;
+
+static constexpr poison::request_identity Bad{10, 11};
+static constexpr poison::request_identity BadOfOtherCaller{12, 11};
+
+/// Passes an update on as entries do.
+static crash_update overTheWire(const crash_update &Update) {
+  const auto Decoded =
+      gateway::detail::decodeState(gateway::detail::encode(Update));
+  CHECK(Decoded.has_value());
+  return std::get<crash_update>(Decoded.value());
+}
+
+static poison::target_crash crash(std::uint64_t Fingerprint,
+                                  std::uint64_t Incarnation) {
+  return {poison::crashIdOf(Fingerprint, Incarnation),
+          Fingerprint,
+          base::service_name("s"),
+          base::target_id("t" + std::to_string(Incarnation)),
+          "GET /x",
+          base::boot_clock::now()};
+}
+
+static crash_update crashesOf(const poison::request_identity &Request,
+                              std::uint64_t Incarnation) {
+  crash_update Update;
+  for (const std::uint64_t Fingerprint :
+       {Request.OfCaller, Request.OfAnyCaller})
+    Update.Crashes.push_back({crash(Fingerprint, Incarnation), 0ms});
+  return Update;
+}
+
+namespace {
+
+struct guarded_entry {
+  guarded_entry(boost::asio::io_context &Loop, telemetry::decision_log &Log,
+                std::uint64_t Seed)
+      : Guard(Loop, Metrics, Log, Seed) {
+    Guard.setPublisher([this](const crash_update &Update, bool PassedOn) {
+      if (!PassedOn)
+        Published.push_back(Update);
+    });
+    Guard.setBlockStore({[this](const routing::request_blocked &Block) {
+                           Written.push_back(Block.Fingerprint);
+                         },
+                         [this](std::uint64_t Fingerprint) {
+                           Removed.push_back(Fingerprint);
+                         }});
+  }
+
+  bool isBlocked(const poison::request_identity &Request = Bad) const {
+    return Guard.findBlock(Request, base::boot_clock::now()) != nullptr;
+  }
+  void adoptThreeCrashes() {
+    for (const std::uint64_t Incarnation : {1, 2, 3})
+      Guard.adopt(overTheWire(crashesOf(Bad, Incarnation)), true);
+  }
+
+  metrics::registry Metrics;
+  crash_guard Guard;
+  std::vector<crash_update> Published;
+  std::vector<std::uint64_t> Written;
+  std::vector<std::uint64_t> Removed;
+};
+
+} // namespace
+
+TEST_GROUP(gateway_crashes) {
+  boost::asio::io_context Loop;
+  int LogFile = open("/dev/null", O_WRONLY | O_CLOEXEC);
+  telemetry::decision_log Log{LogFile, "test"};
+  std::vector<std::unique_ptr<guarded_entry>> Entries;
+
+  void addEntries(std::size_t Count) {
+    for (std::size_t I = 0; I < Count; ++I)
+      Entries.push_back(std::make_unique<guarded_entry>(Loop, Log, I));
+  }
+  void teardown() override {
+    Entries.clear();
+    close(LogFile);
+  }
+
+  /// Loses a connection of the bad request at a target that has ended.
+  void loseTarget(guarded_entry & Entry, std::uint64_t Incarnation) {
+    Entry.Guard.addAttempt({Bad, base::service_name("s"),
+                            base::target_id("t" + std::to_string(Incarnation)),
+                            Incarnation, "GET /x",
+                            poison::attempt_end::ConnectionLost,
+                            base::boot_clock::now()},
+                           {"127.0.0.1", test_support::freePort()}, true);
+    Loop.restart();
+    Loop.run_for(700ms);
+  }
+};
+
+// Guards against entries that do not refuse a request which has ended one
+// target from each of three entries.
+TEST(gateway_crashes, ThreeCrashesAtThreeEntriesBlockARequestAtAll) {
+  addEntries(4);
+  for (std::size_t I = 0; I < 3; ++I) {
+    CHECK(!Entries[I]->isBlocked());
+    loseTarget(*Entries[I], I + 1);
+    for (const crash_update &Update : Entries[I]->Published)
+      for (auto &Other : Entries)
+        Other->Guard.adopt(overTheWire(Update), true);
+    Entries[I]->Published.clear();
+  }
+  for (auto &Entry : Entries) {
+    CHECK(Entry->isBlocked());
+    CHECK(Entry->isBlocked(BadOfOtherCaller));
+    CHECK(!Entry->isBlocked({5, 6}));
+  }
+}
+
+// Guards against notices that only some entries of a large fleet count, and
+// against a crash that counts once for each entry that reports it.
+TEST(gateway_crashes, EachIncarnationCountsOnceInFleetsOfAnySize) {
+  for (const std::size_t Size : {10, 70, 295}) {
+    Entries.clear();
+    addEntries(Size);
+    for (const std::uint64_t Incarnation : {1, 2, 3}) {
+      for (auto &Entry : Entries) {
+        CHECK(!Entry->isBlocked());
+        for (int Copy = 0; Copy < 3; ++Copy)
+          Entry->Guard.adopt(overTheWire(crashesOf(Bad, Incarnation)), true);
+      }
+    }
+    for (auto &Entry : Entries)
+      CHECK(Entry->isBlocked());
+  }
+}
+
+// Guards against a lost datagram that leaves an entry without a crash.
+TEST(gateway_crashes, NoticesAreRepeated) {
+  addEntries(1);
+  loseTarget(*Entries[0], 1);
+  LONGS_EQUAL(1, Entries[0]->Published.size());
+  auto Now = base::boot_clock::now();
+  for (int Step = 0; Step < 20; ++Step)
+    Entries[0]->Guard.tick(false, Now += 250ms);
+  LONGS_EQUAL(3, Entries[0]->Published.size());
+}
+
+// Guards against an entry that starts without the blocks of the others.
+TEST(gateway_crashes, AnEntryThatStartsAdoptsBlocks) {
+  addEntries(2);
+  Entries[0]->adoptThreeCrashes();
+  Entries[1]->Guard.adopt(overTheWire(Entries[0]->Guard.snapshot()), false);
+  CHECK(Entries[1]->isBlocked());
+}
+
+// Guards against a proper request that stays blocked although a target has
+// completed it, and against its return with a late report.
+TEST(gateway_crashes, ACompletedRequestIsNoLongerBlockedAnywhere) {
+  addEntries(2);
+  for (auto &Entry : Entries)
+    Entry->adoptThreeCrashes();
+  Entries[0]->Guard.recordCompletion(Bad);
+  CHECK(!Entries[0]->isBlocked());
+  LONGS_EQUAL(2, Entries[0]->Removed.size());
+  Entries[1]->Guard.adopt(overTheWire(Entries[0]->Published.at(0)), true);
+  Entries[1]->adoptThreeCrashes();
+  CHECK(!Entries[1]->isBlocked());
+}
+
+// Guards against blocks that are forgotten when all entries are killed, and
+// against all entries writing the same block.
+TEST(gateway_crashes, TheEntryThatSeesTheLastCrashStoresTheBlock) {
+  addEntries(2);
+  for (const std::uint64_t Incarnation : {1, 2})
+    for (auto &Entry : Entries)
+      Entry->Guard.adopt(crashesOf(Bad, Incarnation), true);
+  loseTarget(*Entries[0], 3);
+  Entries[1]->Guard.adopt(Entries[0]->Published.at(0), true);
+  const auto Now = base::boot_clock::now();
+  for (auto &Entry : Entries)
+    Entry->Guard.tick(false, Now);
+  LONGS_EQUAL(2, Entries[0]->Written.size());
+  for (auto &Entry : Entries)
+    Entry->Guard.tick(false, Now + 5s);
+  LONGS_EQUAL(0, Entries[1]->Written.size());
+}
+
+// Guards against a block that is not stored because the entry that saw the last
+// crash is killed.
+TEST(gateway_crashes, ARelayStoresABlockThatNobodyHasStored) {
+  addEntries(1);
+  Entries[0]->adoptThreeCrashes();
+  const auto Now = base::boot_clock::now();
+  Entries[0]->Guard.tick(true, Now);
+  LONGS_EQUAL(0, Entries[0]->Written.size());
+  Entries[0]->Guard.onStoredBlock(
+      {Bad.OfCaller, base::service_name("s"), "GET /x", 3});
+  Entries[0]->Guard.tick(true, Now + 5s);
+  LONGS_EQUAL(1, Entries[0]->Written.size());
+}
+
+// Guards against blocks that an outage of the store ends, and against blocks
+// that an operator cannot end.
+TEST(gateway_crashes, OnlyARemovalWhileTheStoreIsThereEndsABlock) {
+  addEntries(1);
+  crash_guard &Guard = Entries[0]->Guard;
+  Guard.onStoredBlock({Bad.OfCaller, base::service_name("s"), "GET /x", 3});
+  CHECK(Entries[0]->isBlocked());
+  Guard.onStoredBlockRemoved(Bad.OfCaller, true);
+  CHECK(Entries[0]->isBlocked());
+  Guard.tick(true, base::boot_clock::now() + 5s);
+  LONGS_EQUAL(1, Entries[0]->Written.size());
+  Guard.onStoredBlockRemoved(Bad.OfCaller, false);
+  CHECK(!Entries[0]->isBlocked());
+}
--- a/tests/unit-poison-crash-register.cpp
+++ b/tests/unit-poison-crash-register.cpp
@@ -113,3 +113,44 @@
     }
   }));
 }
+
+// Guards against a request that ends one target from each entry as soon as its
+// block has ended.
+TEST(poison_crash_register, EntriesEndABlockAtDifferentTimes) {
+  std::set<std::int64_t> Ends;
+  for (std::uint64_t Seed = 0; Seed < 20; ++Seed) {
+    poison::crash_register Register(4, {1, 1, 30s, Seed * 0x9E3779B97F4A7C15U});
+    Register.add(report(1, 7, "a", Start), Start);
+    base::boot_time Now = Start + poison::BlockDuration;
+    while (Register.isBlocked(7, Now))
+      Now += 100ms;
+    CHECK(Now <= Start + poison::BlockDuration + 30s);
+    Ends.insert(Now.time_since_epoch().count());
+  }
+  CHECK(Ends.size() >= 15);
+}
+
+// Guards against a request that ends several further targets after its block.
+TEST(poison_crash_register, OneCrashAfterABlockBlocksAgain) {
+  poison::crash_register Register(4, {3, 1, 0s, 0});
+  for (std::uint64_t Id = 1; Id <= 3; ++Id)
+    Register.add(report(Id, 7, std::to_string(Id).c_str(), Start), Start);
+  CHECK(Register.isBlocked(7, Start));
+  const auto Later = Start + poison::BlockDuration;
+  CHECK(!Register.isBlocked(7, Later));
+  Register.add(report(4, 7, "4", Later), Later);
+  CHECK(Register.isBlocked(7, Later));
+}
+
+// Guards against a block from another entry that lasts longer than any block,
+// or is shortened by a later report.
+TEST(poison_crash_register, AnAdoptedBlockIsLimited) {
+  poison::crash_register Register(4, {3, 1, 0s, 0});
+  const poison::blocked_request Block{7, base::service_name("s"), "GET /x", 0,
+                                      Start + 10h};
+  CHECK(Register.block(Block, Start));
+  CHECK(
+      !Register.block({7, base::service_name("s"), "", 3, Start + 1s}, Start));
+  CHECK(Register.isBlocked(7, Start + 9min));
+  CHECK(!Register.isBlocked(7, Start + poison::BlockDuration));
+}
