Refuse deeply nested documents and numbers out of range before they are used

Reported by operators of a similar system: an odd entry among those of the targets ended the machines that read the list.

--- a/src/entries/detail/cbor_structure.cpp
+++ b/src/base/cbor_structure.cpp
@@ -1,17 +1,15 @@
-#include "entries/detail/cbor_structure.hpp"
+#include "skylarkdyke/base/cbor_structure.hpp"
 
 #include <array>
 #include <cstddef>
 #include <cstdint>
 
-namespace skylarkdyke::entries::detail {
+namespace skylarkdyke::base {
 
 namespace {
 
 /// Maximum nesting depth. A heartbeat with its member list has three levels.
 constexpr std::size_t MaxDepth = 8;
-/// Maximum number of items, which limits the parsed form to a few megabytes.
-constexpr std::uint64_t MaxItems = 65536;
 
 /// Major types of RFC 8949, section 3.1.
 enum major_type : unsigned {
@@ -28,7 +26,8 @@
 /// Scans the heads of all data items of one CBOR item, without recursion.
 class scanner {
 public:
-  explicit scanner(std::string_view Input) : Input(Input) {}
+  scanner(std::string_view Input, std::uint64_t MaxItems)
+      : Input(Input), MaxItems(MaxItems) {}
 
   const char *scan() {
     RemainingItems[0] = 1;
@@ -92,6 +91,7 @@
   }
 
   std::string_view Input;
+  std::uint64_t MaxItems;
   std::size_t Position = 0;
   std::uint64_t Items = 0;
   /// Number of items that are still expected at each nesting level.
@@ -101,8 +101,9 @@
 
 } // namespace
 
-const char *checkCborStructure(std::string_view Bytes) noexcept {
-  return scanner(Bytes).scan();
+const char *checkCborStructure(std::string_view Bytes,
+                               std::uint64_t MaxItems) noexcept {
+  return scanner(Bytes, MaxItems).scan();
 }
 
-} // namespace skylarkdyke::entries::detail
+} // namespace skylarkdyke::base
--- a/src/entries/codec.cpp
+++ b/src/entries/codec.cpp
@@ -1,6 +1,5 @@
 #include "skylarkdyke/entries/codec.hpp"
-
-#include "entries/detail/cbor_structure.hpp"
+#include "skylarkdyke/base/cbor_structure.hpp"
 
 #include <algorithm>
 #include <array>
@@ -398,7 +397,7 @@
 decodeChecked(std::string_view Bytes) {
   if (Bytes.size() > MaxMessageBytes)
     return decode_error{decode_fault::Oversized, "message is too large"};
-  if (const char *Reason = detail::checkCborStructure(Bytes))
+  if (const char *Reason = base::checkCborStructure(Bytes))
     return decode_error{decode_fault::Malformed,
                         std::string("CBOR item ") + Reason};
   const json Root = json::from_cbor(Bytes.begin(), Bytes.end(), true, false);
--- a/src/gateway/detail/state_codec.cpp
+++ b/src/gateway/detail/state_codec.cpp
@@ -1,5 +1,6 @@
 #include "gateway/detail/state_codec.hpp"
 
+#include "skylarkdyke/base/cbor_structure.hpp"
 #include "skylarkdyke/base/overloaded.hpp"
 
 #include <algorithm>
@@ -17,6 +18,10 @@
 static constexpr int ChangesKind = 1;
 static constexpr int LeavingKind = 2;
 static constexpr int CrashKind = 3;
+/// Maximum number of items of a message. A target takes ten.
+static constexpr std::uint64_t MaxStateItems = 1U << 20U;
+/// Longest time that a message may state, so that no sum with a time overflows.
+static constexpr milliseconds MaxTime{std::chrono::hours(24)};
 /// Longest time for which another entry may declare a leaving target usable.
 static constexpr milliseconds MaxUsableTime{10000};
 
@@ -50,6 +55,11 @@
                              std::max(Notice.UsableUntil, Now) - Now)};
 }
 
+static milliseconds timeFromJson(const json &Count) {
+  return std::clamp(milliseconds(Count.get<std::int64_t>()), milliseconds(0),
+                    MaxTime);
+}
+
 static json leavingToJson(const std::vector<encoded_leaving> &Targets) {
   json Rows = json::array();
   for (const auto &[Target, UsableFor] : Targets)
@@ -95,7 +105,7 @@
   Target.Domain = base::domain_name(Fields.at(3).get<std::string>());
   Target.Slots = Fields.at(4);
   Target.Draining = Fields.at(5);
-  Target.RemainingColdTime = milliseconds(Fields.at(6).get<std::int64_t>());
+  Target.RemainingColdTime = timeFromJson(Fields.at(6));
   Target.StartedAtMs = Fields.at(7);
   return Target;
 }
@@ -107,7 +117,7 @@
 static std::optional<milliseconds> ageFromJson(const json &Count) {
   if (Count.is_null())
     return std::nullopt;
-  return std::max(milliseconds(Count.get<std::int64_t>()), milliseconds(0));
+  return timeFromJson(Count);
 }
 
 static std::string toCbor(const json &Message) {
@@ -204,7 +214,7 @@
   case change_kind::TargetRemoved:
     Change = routing::target_removed{
         base::target_id(Value.at(0).get<std::string>())};
-    Encoded.EffectiveIn = milliseconds(Value.at(1).get<std::int64_t>());
+    Encoded.EffectiveIn = timeFromJson(Value.at(1));
     return Encoded;
   case change_kind::EvacuationStarted:
     Change = routing::evacuation_started{
@@ -240,7 +250,7 @@
   for (const json &Fields : Message.at(4)) {
     encoded_target Encoded{targetFromJson(Fields), std::nullopt};
     if (Fields.size() > 8)
-      Encoded.RemovedIn = milliseconds(Fields.at(8).get<std::int64_t>());
+      Encoded.RemovedIn = timeFromJson(Fields.at(8));
     Snapshot.Targets.push_back(std::move(Encoded));
   }
   for (const json &Domain : Message.at(5))
@@ -266,6 +276,8 @@
 }
 
 base::result<state_message, std::string> decodeState(const std::string &Bytes) {
+  if (const char *Reason = base::checkCborStructure(Bytes, MaxStateItems))
+    return std::string(Reason);
   // The parser throws on an excessive size even though exceptions are
   // disabled in the call.
   try {
--- a/src/membership/messages.cpp
+++ b/src/membership/messages.cpp
@@ -1,5 +1,7 @@
 #include "skylarkdyke/membership/messages.hpp"
 
+#include "skylarkdyke/base/cbor_structure.hpp"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -230,6 +232,8 @@
 }
 
 std::optional<mesh_message> decodeMessage(const std::string &Bytes) {
+  if (base::checkCborStructure(Bytes) != nullptr)
+    return std::nullopt;
   // The parser throws on an excessive size even with exceptions disabled.
   try {
     return fromJson(json::from_cbor(Bytes, true, false));
