State the time that is left once the connection to a target is open

A target was told of the time left as of the choice of the target; opening the connection takes up to 600 ms more, in which the caller's time goes on.

--- a/include/skylarkdyke/net/http_channel.hpp
+++ b/include/skylarkdyke/net/http_channel.hpp
@@ -96,9 +96,10 @@
   /// A new connection must be established by this time.
   base::boot_time ConnectDeadline;
   base::boot_time Deadline;
-  /// Asked once a new connection is open, before the request is sent; no check
+  /// Asked once a new connection is open, before the request is sent. It may
+  /// bring the request up to date, because opening takes time. Nothing is asked
   /// if empty.
-  std::function<bool()> MaySend = {};
+  std::function<bool(http_request &Request)> MaySend = {};
 };
 
 /// \brief Asynchronous HTTP/1.1 client connection to one peer.
--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -205,13 +205,17 @@
 }
 
 /// Returns a check whether a target still wants the request once the connection
-/// to it is open.
-std::function<bool()>
+/// to it is open, which states the time that is left by then.
+std::function<bool(net::http_request &)>
 exchange::sendCheck(const placement::chosen_target &Chosen) const {
-  return [&Registry = Context.TargetRegistry, Id = Chosen.Id] {
-    const placement::target_state *State = Registry.find(Id);
-    return State == nullptr || !placement::target_registry::declinesRequests(
-                                   *State, base::boot_clock::now());
+  return [&Context = Context, Id = Chosen.Id,
+          Deadline = Query.Deadline](net::http_request &Request) {
+    const auto Now = base::boot_clock::now();
+    setTimeLeft(Request, Context.Headers,
+                std::chrono::duration_cast<milliseconds>(Deadline - Now));
+    const placement::target_state *State = Context.TargetRegistry.find(Id);
+    return State == nullptr ||
+           !placement::target_registry::declinesRequests(*State, Now);
   };
 }
 
--- a/src/gateway/detail/exchange.hpp
+++ b/src/gateway/detail/exchange.hpp
@@ -96,7 +96,8 @@
                            bool IsFirstOnConnection, bool Complete);
   void onCallResult(std::size_t Index, net::call_result Result);
   void releaseChannel(const attempt &Attempt, base::boot_time Now);
-  std::function<bool()> sendCheck(const placement::chosen_target &Chosen) const;
+  std::function<bool(net::http_request &)>
+  sendCheck(const placement::chosen_target &Chosen) const;
   void recordResponse(const attempt &Attempt,
                       const net::http_response &Response);
   void onResponse(std::size_t Index, response_received Outcome);
--- a/src/gateway/detail/send_outcome.cpp
+++ b/src/gateway/detail/send_outcome.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/detail/target_signals.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/beast/http/rfc7230.hpp>
 #include <cstdlib>
@@ -116,6 +117,12 @@
                          Reason};
 }
 
+void setTimeLeft(net::http_request &Request, const header_names &Headers,
+                 std::chrono::milliseconds TimeLeft) {
+  Request.set(Headers.Deadline,
+              std::to_string(std::max(TimeLeft.count(), std::int64_t{0})));
+}
+
 net::http_request toTargetRequest(const net::http_request &Request,
                                   const header_names &Headers,
                                   const base::target_id &Target,
@@ -125,7 +132,7 @@
   removeHopByHopHeaders(TargetRequest);
   TargetRequest.erase(bhttp::field::expect);
   TargetRequest.set(Headers.ExpectedTarget, Target.str());
-  TargetRequest.set(Headers.Deadline, std::to_string(TimeLeft.count()));
+  setTimeLeft(TargetRequest, Headers, TimeLeft);
   TargetRequest.prepare_payload();
   return TargetRequest;
 }
--- a/src/gateway/detail/send_outcome.hpp
+++ b/src/gateway/detail/send_outcome.hpp
@@ -68,6 +68,10 @@
                                   const base::target_id &Target,
                                   std::chrono::milliseconds TimeLeft);
 
+/// \brief Sets the time within which a target must respond.
+void setTimeLeft(net::http_request &Request, const header_names &Headers,
+                 std::chrono::milliseconds TimeLeft);
+
 /// \brief Removes the hop-by-hop headers, which concern only one connection.
 void removeHopByHopHeaders(boost::beast::http::fields &Fields);
 
--- a/src/net/http_channel.cpp
+++ b/src/net/http_channel.cpp
@@ -243,7 +243,7 @@
           return;
         if (Result)
           return fail(channel_fault::ConnectRefused);
-        if (Limits.MaySend && !Limits.MaySend())
+        if (Limits.MaySend && !Limits.MaySend(Request))
           return fail(channel_fault::Withdrawn);
         Open = true;
         ConnectTime = base::boot_clock::now() - Started;
--- a/tests/unit-gateway-state.cpp
+++ b/tests/unit-gateway-state.cpp
@@ -384,7 +384,7 @@
   Request.set("X-Kept", "1");
   Request.set("Deadline", "9000");
   Request.body() = "body";
-  const auto TargetRequest = gateway::detail::toTargetRequest(
+  auto TargetRequest = gateway::detail::toTargetRequest(
       Request, Headers, base::target_id("i-1"), 250ms);
   CHECK(TargetRequest["X-Hop"].empty());
   CHECK(TargetRequest["X-Kept"] == "1" && TargetRequest["Host"] == "h");
@@ -392,6 +392,10 @@
         TargetRequest["Deadline"] == "250");
   CHECK(TargetRequest.body() == "body" &&
         TargetRequest["Content-Length"] == "4");
+  gateway::detail::setTimeLeft(TargetRequest, Headers, 90ms);
+  CHECK(TargetRequest["Deadline"] == "90");
+  gateway::detail::setTimeLeft(TargetRequest, Headers, -5ms);
+  CHECK(TargetRequest["Deadline"] == "0");
 }
 
 // Guards against a traffic split that holds only on average: here it must
--- a/tests/unit-net-channel.cpp
+++ b/tests/unit-net-channel.cpp
@@ -30,6 +30,7 @@
       tcp::endpoint(boost::asio::ip::make_address(Peer.Address), Peer.Port)};
   tcp::socket Accepted{Loop};
   boost::asio::streambuf Received;
+  std::string ReceivedHeader;
   std::shared_ptr<net::http_channel> Channel =
       net::http_channel::create(Loop, Peer, Memory);
   std::optional<net::call_result> Result;
@@ -67,9 +68,14 @@
     const auto Now = base::boot_clock::now();
     net::http_request Request(boost::beast::http::verb::get, "/", 11);
     Request.set("Host", "h");
+    Request.set("X-Time", "early");
     Channel->call(
         std::move(Request),
-        {Now + Timeout, Now + Timeout, [this] { return MaySend; }},
+        {Now + Timeout, Now + Timeout,
+         [this](net::http_request &Asked) {
+           Asked.set("X-Time", "late");
+           return MaySend;
+         }},
         [](const net::http_response &Response) {
           return Response["X-Id"].empty() || Response["X-Id"] == "mine";
         },
@@ -88,6 +94,8 @@
         [this, Bytes, End](auto Failure, std::size_t Size) {
           if (Failure)
             return;
+          const auto Begin = boost::asio::buffers_begin(Received.data());
+          ReceivedHeader.assign(Begin, Begin + static_cast<long>(Size));
           Received.consume(Size);
           boost::asio::write(Accepted, boost::asio::buffer(Bytes));
           if (End == connection_end::Reset)
@@ -377,3 +385,11 @@
   Loop.poll();
   LONGS_EQUAL(0, Received.size());
 }
+
+// Guards against a target that is told of more time than is left, because
+// opening the connection to it took a while.
+TEST(net_channel, ARequestIsBroughtUpToDateOnceItsConnectionIsOpen) {
+  call("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", connection_end::Keep);
+  CHECK(ReceivedHeader.find("X-Time: late\r\n") != std::string::npos);
+  CHECK(ReceivedHeader.find("early") == std::string::npos);
+}
