Keep records whose removal is the first news after an outage of the store

Records that expire while the store is away return within 2 s, so that their removal is delayed after an outage. The first response after it is applied before the outage counts as ended: an entry dropped all expired targets at once and refused requests until they were back. An event now ends the outage, as a listing did.

The new test of gateway_state failed before; the one that existed confirms a revision before the removal arrives, which the feed does not do.

--- a/src/gateway/detail/steering_state.cpp
+++ b/src/gateway/detail/steering_state.cpp
@@ -163,6 +163,7 @@
 
 void steering_state::apply(const routing::store_change &Change,
                            std::uint64_t Revision) {
+  noteStoreAvailable();
   // A slow response of the store may hold what a newer state of another entry
   // has replaced.
   if (Revision <= ConfirmedRevision)
--- a/tests/support/odd_values.cpp
+++ b/tests/support/odd_values.cpp
@@ -24,7 +24,7 @@
 }
 
 rc::Gen<json> anyValue(int Depth) {
-  const auto Leaf = rc::gen::oneOf(
+  auto Leaf = rc::gen::oneOf(
       rc::gen::element<json>(
           nullptr, true, false, "", "10.0.0.1:70000", "10.0.0.1:80", "ready",
           1e300, -1e300, 1.5, -1, std::numeric_limits<std::int64_t>::min(),
--- a/tests/unit-gateway-state.cpp
+++ b/tests/unit-gateway-state.cpp
@@ -94,6 +94,20 @@
   CHECK(!acceptsRequests("a"));
 }
 
+// Guards against the same if the first response after the outage tells of the
+// expired records.
+TEST(gateway_state, KeepsRecordsWhoseRemovalIsTheFirstNewsAfterAnOutage) {
+  publish("a", 1);
+  State.confirmRevision(1);
+  State.reportFailure("no answer");
+  Now += 10s;
+  State.apply(routing::target_removed{base::target_id("a")}, 3);
+  State.confirmRevision(3);
+  CHECK(acceptsRequests("a"));
+  Now += 3s;
+  CHECK(!acceptsRequests("a"));
+}
+
 // Guards against removals that are still delayed long after an outage.
 TEST(gateway_state, RemovesTargetsImmediatelyLongAfterAnOutage) {
   publish("a", 1);
