Ask targets for their cold time while the store is silent

Only the targets themselves can tell. While nothing has confirmed the state for 3 s, one live entry of its region checks the health of each warm target every 250 ms and tells the others how long it stays cold.

--- a/include/skylarkdyke/base/event.hpp
+++ b/include/skylarkdyke/base/event.hpp
@@ -68,6 +68,7 @@
   CrashSuspected = 513,
   BlockEnded = 514,
   BlockedRequestRefused = 515,
+  TargetCold = 516,
 
   // 600: operators
   OperatorDenied = 600,
--- a/include/skylarkdyke/gateway/gateway.hpp
+++ b/include/skylarkdyke/gateway/gateway.hpp
@@ -78,6 +78,10 @@
   std::string NotExecuted;
   /// Load of the target as "running,waiting,slots".
   std::string Load;
+  /// Identifier of the target that responds to a health check.
+  std::string TargetId = {};
+  /// Time in milliseconds for which that target stays cold.
+  std::string ColdTimeLeft = {};
   /// Names under which a target says, with the value 1, that it leaves.
   std::vector<std::string> Leaving = {};
 };
--- a/include/skylarkdyke/placement/target_registry.hpp
+++ b/include/skylarkdyke/placement/target_registry.hpp
@@ -170,6 +170,11 @@
   /// request for a longer pause still holds.
   void recordPause(const target_incarnation &Target, base::boot_time Until);
 
+  /// \brief Records that a target has said that it is cold until a time.
+  /// \return true if it was not known to be cold for so long
+  bool recordCold(const target_incarnation &Target, base::boot_time Until,
+                  base::boot_time Now);
+
   /// \brief Records the load that the target reported with an answer.
   void recordReportedLoad(const base::target_id &Id, const reported_load &Load,
                           base::boot_time Now);
--- /dev/null
+++ b/src/gateway/detail/cold_watch.hpp
@@ -0,0 +1,77 @@
+#ifndef SKYLARKDYKE_GATEWAY_DETAIL_COLD_WATCH_HPP
+#define SKYLARKDYKE_GATEWAY_DETAIL_COLD_WATCH_HPP
+
+#include "gateway/detail/channel_pool.hpp"
+#include "gateway/detail/steering_state.hpp"
+#include "skylarkdyke/base/clock.hpp"
+#include "skylarkdyke/metrics/registry.hpp"
+#include "skylarkdyke/telemetry/decision_log.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace skylarkdyke::gateway::detail {
+
+/// \brief Reads from the response to a health check how long a target stays
+/// cold.
+/// \return the time; nothing if the response is of another target or tells none
+std::optional<std::chrono::milliseconds>
+readColdTime(const net::http_response &Response, const header_names &Headers,
+             const base::target_id &Target);
+
+/// \brief Finds out which targets have become cold while the store is silent.
+///
+/// A target may become cold at any time, for example when an evacuation ends.
+/// The store tells so; while it does not answer, only the targets do, in their
+/// responses to health checks. One entry checks a target and tells the others,
+/// because a cold target tolerates few requests, checks included.
+class cold_watch {
+public:
+  /// An entry that may check targets.
+  struct checker {
+    base::endpoint MeshAddress;
+    base::region_name Region;
+  };
+
+  /// \param Own this entry
+  cold_watch(const header_names &Headers, steering_state &State,
+             placement::target_registry &TargetRegistry, channel_pool &Pool,
+             metrics::registry &Metrics, telemetry::decision_log &Log,
+             checker Own);
+
+  /// \brief Checks the targets that this entry has to check if the store has
+  /// been silent for a while.
+  /// \param Others live entries besides this one
+  void tick(const std::vector<checker> &Others, base::boot_time Now);
+
+private:
+  bool isStoreSilent(base::boot_time Now) const;
+  bool isOwnDuty(const placement::target_state &Target,
+                 const std::vector<checker> &Others) const;
+  bool needsCheck(const placement::target_state &Target,
+                  base::boot_time Now) const;
+  void check(const placement::target_state &Target,
+             const routing::service &Service, base::boot_time Now);
+  void onResponse(const placement::target_incarnation &Target,
+                  const net::call_result &Result);
+
+  const header_names &Headers;
+  steering_state &State;
+  placement::target_registry &TargetRegistry;
+  channel_pool &Pool;
+  metrics::registry &Metrics;
+  telemetry::decision_log &Log;
+  checker Own;
+  /// Targets whose check has no response yet.
+  std::set<base::target_id> Pending;
+  std::uint64_t CheckCount = 0;
+};
+
+} // namespace skylarkdyke::gateway::detail
+
+#endif
--- a/src/gateway/detail/mesh_link.cpp
+++ b/src/gateway/detail/mesh_link.cpp
@@ -64,6 +64,9 @@
 bool mesh_link::start() {
   State.setConfirmedCallback(
       [this] { publishChanges(base::boot_clock::now()); });
+  State.setColdCallback([this](const cold_notice &Notice, bool PassedOn) {
+    publishCold(Notice, PassedOn);
+  });
   State.setLeavingCallback([this](const placement::leaving_notice &Notice) {
     publishLeaving(Notice);
   });
@@ -235,23 +238,32 @@
   if (Notice.Source == placement::leaving_source::Entry &&
       !Members.sendsDigests())
     return;
+  publishToOthers(
+      encode(leaving_update{{toEncoded(Notice, base::boot_clock::now())}}));
+}
+
+void mesh_link::publishCold(const cold_notice &Notice, bool PassedOn) {
   const auto Now = base::boot_clock::now();
-  const std::string Bytes = membership::encode(membership::state_update{
-      OwnAddress, encode(leaving_update{{toEncoded(Notice, Now)}})});
-  for (const base::endpoint &Address : Members.noticeReceivers(Now))
-    send(Address, Bytes);
+  if (!PassedOn || Members.sendsDigests())
+    publishToOthers(encode(cold_update{
+        Notice.Target, std::chrono::duration_cast<milliseconds>(
+                           std::max(Notice.ColdUntil, Now) - Now)}));
 }
 
-void mesh_link::publishCrashes(const crash_update &Update, bool PassedOn) {
-  if (PassedOn && !Members.sendsDigests())
-    return;
+/// Sends a message to the entries that are told of news at once.
+void mesh_link::publishToOthers(const std::string &StateMessage) {
   const std::string Bytes =
-      membership::encode(membership::state_update{OwnAddress, encode(Update)});
+      membership::encode(membership::state_update{OwnAddress, StateMessage});
   for (const base::endpoint &Address :
        Members.noticeReceivers(base::boot_clock::now()))
     send(Address, Bytes);
 }
 
+void mesh_link::publishCrashes(const crash_update &Update, bool PassedOn) {
+  if (!PassedOn || Members.sendsDigests())
+    publishToOthers(encode(Update));
+}
+
 void mesh_link::broadcastHeartbeat(base::boot_time Now) {
   membership::entry_status Status = OwnStatus();
   Status.NextHeartbeatIn = membership::MaxRemoteHeartbeatPeriod;
--- a/src/gateway/detail/mesh_link.hpp
+++ b/src/gateway/detail/mesh_link.hpp
@@ -71,6 +71,8 @@
   void sendHeartbeats(base::boot_time Now);
   void sendDigests(base::boot_time Now);
   void publishChanges(base::boot_time Now);
+  void publishCold(const cold_notice &Notice, bool PassedOn);
+  void publishToOthers(const std::string &StateMessage);
   void publishLeaving(const placement::leaving_notice &Notice);
   std::optional<std::string> takeSnapshot(base::boot_time Now);
   void onStateRequest(const std::shared_ptr<net::pending_request> &Request);
--- a/src/gateway/detail/state_codec.cpp
+++ b/src/gateway/detail/state_codec.cpp
@@ -18,6 +18,7 @@
 static constexpr int ChangesKind = 1;
 static constexpr int LeavingKind = 2;
 static constexpr int CrashKind = 3;
+static constexpr int ColdKind = 4;
 /// Maximum number of items of a message. A target takes ten.
 static constexpr std::uint64_t MaxStateItems = 1U << 20U;
 /// Longest time that a message may state, so that no sum with a time overflows.
@@ -199,6 +200,22 @@
   return toCbor({CrashKind, toJson(Update)});
 }
 
+std::string encode(const cold_update &Update) {
+  return toCbor({ColdKind, Update.Target.Id.str(),
+                 base::toString(Update.Target.Address),
+                 Update.Target.StartedAtMs, Update.ColdFor.count()});
+}
+
+static cold_update coldUpdateFromJson(const json &Message) {
+  cold_update Update;
+  Update.Target.Id = base::target_id(Message.at(1).get<std::string>());
+  Update.Target.Address = base::parseEndpoint(Message.at(2).get<std::string>())
+                              .value_or(base::endpoint());
+  Update.Target.StartedAtMs = Message.at(3);
+  Update.ColdFor = timeFromJson(Message.at(4));
+  return Update;
+}
+
 static std::optional<encoded_change> changeFromJson(const json &Fields) {
   encoded_change Encoded;
   Encoded.Recorded.Revision = Fields.at(0);
@@ -292,6 +309,8 @@
       return state_message(leaving_update{leavingFromJson(Message.at(1))});
     if (Message.at(0) == CrashKind)
       return state_message(crashUpdateFromJson(Message.at(1)));
+    if (Message.at(0) == ColdKind)
+      return state_message(coldUpdateFromJson(Message));
     return std::string("unknown kind");
   } catch (const json::exception &Failure) {
     return std::string(Failure.what());
--- a/src/gateway/detail/state_codec.hpp
+++ b/src/gateway/detail/state_codec.hpp
@@ -67,8 +67,14 @@
   std::vector<encoded_leaving> LeavingTargets;
 };
 
-using state_message =
-    std::variant<state_snapshot, state_changes, leaving_update, crash_update>;
+/// \brief A target that an entry has just learned to be cold.
+struct cold_update {
+  placement::target_incarnation Target;
+  std::chrono::milliseconds ColdFor{0};
+};
+
+using state_message = std::variant<state_snapshot, state_changes,
+                                   leaving_update, crash_update, cold_update>;
 
 /// \brief Returns a target as it is passed on to other entries.
 encoded_target toEncoded(const placement::target_state &State,
@@ -82,6 +88,7 @@
 std::string encode(const state_changes &Changes);
 std::string encode(const leaving_update &Update);
 std::string encode(const crash_update &Update);
+std::string encode(const cold_update &Update);
 
 /// \brief Decodes a message.
 /// \return the message, or the reason why the bytes are not one
--- a/src/gateway/detail/steering_state.cpp
+++ b/src/gateway/detail/steering_state.cpp
@@ -232,6 +232,26 @@
   return true;
 }
 
+bool steering_state::recordCold(const cold_notice &Notice) {
+  if (!TargetRegistry.recordCold(Notice.Target, Notice.ColdUntil, Clock()))
+    return false;
+  if (OnCold)
+    OnCold(Notice, false);
+  return true;
+}
+
+void steering_state::adopt(const cold_update &Update) {
+  const auto Now = Clock();
+  const cold_notice Notice{Update.Target, Now + Update.ColdFor};
+  if (!TargetRegistry.recordCold(Notice.Target, Notice.ColdUntil, Now))
+    return;
+  SKYLARKDYKE_LOG(INFO, TargetCold)
+      << "target=" << Update.Target.Id.str()
+      << " source=entry cold_ms=" << Update.ColdFor.count();
+  if (OnCold)
+    OnCold(Notice, true);
+}
+
 /// \param PassOn whether other entries may not have heard of them
 void steering_state::adoptLeaving(const std::vector<encoded_leaving> &Targets,
                                   bool PassOn) {
@@ -346,6 +366,10 @@
                    adoptLeaving(Update.LeavingTargets, true);
                    return false;
                  },
+                 [this](const cold_update &Update) {
+                   adopt(Update);
+                   return false;
+                 },
                  [this](const crash_update &Update) {
                    if (Crashes != nullptr)
                      Crashes->adopt(Update, true);
--- a/src/gateway/detail/steering_state.hpp
+++ b/src/gateway/detail/steering_state.hpp
@@ -27,6 +27,12 @@
   std::optional<std::chrono::milliseconds> Age;
 };
 
+/// \brief A target has said that it is cold.
+struct cold_notice {
+  placement::target_incarnation Target;
+  base::boot_time ColdUntil;
+};
+
 /// \brief Configuration, targets and evacuated failure domains, as received
 /// from the store or from another entry. The configuration version never
 /// decreases.
@@ -40,6 +46,11 @@
   using leaving_callback =
       std::function<void(const placement::leaving_notice &)>;
 
+  /// Called with a notice that other entries may not have.
+  /// \param PassedOn another entry has said so
+  using cold_callback =
+      std::function<void(const cold_notice &Notice, bool PassedOn)>;
+
   steering_state(placement::target_registry &TargetRegistry,
                  configuration_decoder Decoder,
                  std::chrono::milliseconds RecordRecoveryTime, clock Clock);
@@ -59,6 +70,14 @@
     OnLeaving = std::move(Callback);
   }
 
+  /// \brief Sets a callback for targets that are newly known to be cold, from a
+  /// health check or a message of another entry.
+  void setColdCallback(cold_callback Callback) { OnCold = std::move(Callback); }
+
+  /// \brief Records that a target has said that it is cold.
+  /// \return true if it was not known to be
+  bool recordCold(const cold_notice &Notice);
+
   /// \brief Sets what receives the news of requests that crash targets; must
   /// outlive the state.
   void setCrashSink(crash_sink &Sink) { Crashes = &Sink; }
@@ -144,6 +163,7 @@
   void adopt(const state_changes &Changes);
   void confirmAt(std::optional<std::chrono::milliseconds> Age);
   void applyChange(const routing::store_change &Change);
+  void adopt(const cold_update &Update);
   void adoptLeaving(const std::vector<encoded_leaving> &Targets, bool PassOn);
 
   placement::target_registry &TargetRegistry;
@@ -153,6 +173,7 @@
   entry_callback OnEntryRegistered;
   std::function<void()> OnConfirmed;
   leaving_callback OnLeaving;
+  cold_callback OnCold;
   crash_sink *Crashes = nullptr;
   std::shared_ptr<const routing::route_table> Routes;
   base::boot_time InstalledAt{};
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "skylarkdyke/gateway/gateway.hpp"
 
 #include "gateway/detail/channel_pool.hpp"
+#include "gateway/detail/cold_watch.hpp"
 #include "gateway/detail/demand_history.hpp"
 #include "gateway/detail/directory_service.hpp"
 #include "gateway/detail/exchange.hpp"
@@ -70,6 +71,8 @@
   void tick();
   void updateShares(base::boot_time Now);
   bool shouldWatchStore(base::boot_time Now) const;
+  std::vector<detail::cold_watch::checker>
+  liveCheckers(base::boot_time Now) const;
   bool isReady() const { return State.isComplete() && !Stopping; }
   membership::entry_status ownStatus();
   void onReadinessRequest(const std::shared_ptr<net::pending_request> &Request);
@@ -96,6 +99,7 @@
   membership::member_table Members;
   detail::directory_service Directory;
   detail::mesh_link Mesh;
+  detail::cold_watch ColdWatch;
   net::http_server FrontServer;
   net::http_server ReadinessServer;
   net::http_server DirectoryServer;
@@ -148,6 +152,8 @@
           Loop, Memory, State, Members, Settings.Mesh,
           Settings.LinkMbitPerSecond, [this] { return ownStatus(); },
           [this] { updateShares(base::boot_clock::now()); }),
+      ColdWatch(this->Protocol.Headers, State, TargetRegistry, Pool, Metrics,
+                Log, {Settings.Mesh, Settings.Region}),
       FrontServer(
           Loop, maxCallerConnections(),
           [this] { return detail::limitsInForce(State); },
@@ -324,6 +330,7 @@
   TargetRegistry.sweep(Now);
   Pool.sweep(Now);
   Crashes.tick(Members.isRelay(), Now);
+  ColdWatch.tick(liveCheckers(Now), Now);
   updateShares(Now);
   Log.flush();
   NextTickAt = base::boot_clock::now() +
@@ -331,6 +338,16 @@
   Timer.set(NextTickAt, [this] { tick(); });
 }
 
+/// Returns the other entries that may check targets.
+std::vector<detail::cold_watch::checker>
+gateway::impl::liveCheckers(base::boot_time Now) const {
+  std::vector<detail::cold_watch::checker> Checkers;
+  for (const auto *Member : Members.liveMembers(Now))
+    if (Member->Status.Ready)
+      Checkers.push_back({Member->Status.MeshAddress, Member->Region});
+  return Checkers;
+}
+
 /// Relays watch the store for all entries. One whose calls fail goes on until
 /// the store answers, so that it can tell the others that it reaches the store
 /// again.
--- a/src/placement/target_registry.cpp
+++ b/src/placement/target_registry.cpp
@@ -28,6 +28,9 @@
 static constexpr double MinLatencyRatio = 0.3;
 static constexpr double MaxLatencyRatio = 20;
 
+/// Difference up to which two reports name the same cold time.
+static constexpr milliseconds ColdTimeTolerance{100};
+
 static const std::vector<target_state *> EmptyTargets;
 
 target_registry::target_registry(
@@ -96,6 +99,15 @@
     State->PausedUntil = std::max(State->PausedUntil, Until);
 }
 
+bool target_registry::recordCold(const target_incarnation &Target,
+                                 base::boot_time Until, base::boot_time Now) {
+  target_state *State = findIncarnation(Target);
+  if (State == nullptr || Until <= State->ColdUntil + ColdTimeTolerance)
+    return false;
+  markCold(*State, Until, Now);
+  return true;
+}
+
 void target_registry::markCold(target_state &State, base::boot_time Until,
                                base::boot_time Now) {
   if (State.ColdUntil <= Now)
