--- a/include/skylarkdyke/gateway/gateway.hpp
+++ b/include/skylarkdyke/gateway/gateway.hpp
@@ -78,12 +78,12 @@
   std::string NotExecuted;
   /// Load of the target as "running,waiting,slots".
   std::string Load;
+  /// Names under which a target says, with the value 1, that it leaves.
+  std::vector<std::string> Leaving = {};
   /// Identifier of the target that responds to a health check.
   std::string TargetId = {};
   /// Time in milliseconds for which that target stays cold.
   std::string ColdTimeLeft = {};
-  /// Names under which a target says, with the value 1, that it leaves.
-  std::vector<std::string> Leaving = {};
 };
 
 /// \brief Query of a caller for the entries that it should use.
