--- a/tests/system-serve-faults.cpp
+++ b/tests/system-serve-faults.cpp
@@ -207,9 +207,12 @@
 // the caller as a success, or as a promise that nothing has run.
 TEST(system_serve_faults, AResponseThatBreaksOffIsNoSuccess) {
   start();
+  int Count = 0;
   for (const cut_response &Cut : cutResponses()) {
-    const scripted_target Target([&Cut](const scripted_request &Request) {
-      if (Request.path() != "/once/cut")
+    // The target of each case ends after it: the same request would be blocked.
+    const std::string Path = "/once/cut" + std::to_string(++Count);
+    const scripted_target Target([&](const scripted_request &Request) {
+      if (Request.path() != Path)
         return Request.send(success(Request));
       Request.send(std::string("HTTP/1.1 100 Continue\r\n\r\n") + SignedStart +
                    idLine(Request.requestId()) + Cut.Start);
@@ -220,8 +223,8 @@
     });
     useOnly(Target);
     const std::string Name = std::string(Cut.Name) + (Cut.Reset ? " r" : " c");
-    const std::string Response = ask("POST", "/once/cut", "cut");
-    LONGS_EQUAL_TEXT(1, Target.received("/once/cut"), Name.c_str());
+    const std::string Response = ask("POST", Path, "cut");
+    LONGS_EQUAL_TEXT(1, Target.received(Path), Name.c_str());
     // A body without a stated length may have been started; then it must not
     // look complete.
     const bool MayBeStarted = Name.find("chunk") != std::string::npos ||
