--- a/review/support/fleet.py
+++ b/review/support/fleet.py
@@ -479,7 +479,14 @@
 
 def configuration(version, routes, services, limits=None):
     """`op/config`. Rows of routes: name, path prefix, kind, timeout, objective,
-    service, attempts."""
+    service, attempts. A list of (service, weight) in place of a service splits
+    the route."""
+
+    def split(service):
+        if isinstance(service, str):
+            return service, None
+        return None, [{"service": s, "weight": w} for s, w in service]
+
     return {
         "version": f"r{version}",
         "routes": {
@@ -489,7 +496,7 @@
                 "sticky", "allowed_regions", "traffic_split",
             ],
             "rows": [
-                [n, PLATFORM_HOST, p, k, t, o, 1, s, m, True, [], None]
+                [n, PLATFORM_HOST, p, k, t, o, 1, split(s)[0], m, True, [], split(s)[1]]
                 for n, p, k, t, o, s, m in routes
             ],
         },
