--- a/review/5/run.py
+++ b/review/5/run.py
@@ -1,9 +1,11 @@
-"""A request that crashes endpoints, and whose client leaves before the crash.
+"""A route is dropped and added again, to a faster service with a lower time-out.
 
-The request is safe. An endpoint that has begun to run it ends 1 s later, also if
-its connection was closed meanwhile. The client sends it again every 5 s. With
-the disruption (`give_up`) it leaves 0.5 s after it has sent the request; without
-it (TROUBLE=0) it waits for the answer. Beside it other clients look up stock.
+The route `history` goes to a service that works 2.2 s on a request, with a
+time-out of 12 s. A version drops it, and a later one adds it again under the same
+name, to a service that works 0.2 s, with a time-out of 1.5 s (config_change,
+route and timeout). Without the disruption (TROUBLE=0) the first version has
+neither the route nor its traffic, and a later one adds it. In both, requests on
+the added route are compared with those on the first route.
 """
 
 import asyncio
@@ -14,46 +16,48 @@
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "support"))
-import crashing  # noqa: E402
 import fleet  # noqa: E402
 
-ROUNDS = 12
-ROUND_S = 5.0
-CRASH_AFTER_S = 1.0
-LEAVES_AFTER_S = 0.5
-ENDPOINTS = 12
+CONFIG_APPLY_S = 2.5
+REQUESTS = 60
+SLOW, FAST, STOCK = "order-archive", "order-archive-fast", "stock-view"
+WORK_S = {SLOW: 2.2, FAST: 0.2, STOCK: 0.3}
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-POISON = "/stock/net-81"
 
 
-async def poisoned_client(port, record, start):
-    for number in range(ROUNDS):
-        await asyncio.sleep(max(0, start + number * ROUND_S - time.monotonic()))
-        connection = fleet.Client(port)
-        ident = f"p-{number:02d}"
-        record(f"client sends {ident} {POISON}")
-        request = connection.request("GET", POISON, ident, 4000)
-        if TROUBLE:
-            try:
-                answer = await asyncio.wait_for(request, LEAVES_AFTER_S)
-            except asyncio.TimeoutError:
-                answer = "no answer, the client leaves"
-        else:
-            answer = await request
-        connection.close()
-        record(f"client {ident} -> {answer}")
+def version(number, history):
+    routes = [("stock", "/stock/", "safe", 4, 0.6, STOCK, 2)]
+    if history:
+        service, timeout, objective = history
+        routes.append(
+            ("history", "/history/", "safe", timeout, objective, service, 2)
+        )
+    document = fleet.configuration(number, routes, [SLOW, FAST, STOCK])
+    sticky = document["routes"]["columns"].index("sticky")
+    for row in document["routes"]["rows"]:
+        row[sticky] = False
+    return document
+
+
+async def send(entry, path, prefix, count, pause, deadline_ms, record):
+    """Sends requests one after the other; returns their statuses."""
 
+    async def one(number):
+        connection = fleet.Client(entry.ports["front"])
+        ident = f"{prefix}-{number:03d}"
+        answer = await connection.request(
+            "GET", f"{path}{number}", ident, deadline_ms
+        )
+        reason = answer.body.decode("latin-1").strip() if answer.status != 200 else ""
+        record(f"client {ident} -> {answer} {reason}")
+        connection.close()
+        return answer.status
 
-async def other_client(number, port, record, until, results):
-    connection = fleet.Client(port)
-    count = 0
-    while time.monotonic() < until:
-        count += 1
-        ident = f"o{number}-{count:03d}"
-        answer = await connection.request("GET", f"/stock/{number}", ident, 4000)
-        record(f"client {ident} -> {answer}")
-        results.append((ident, answer.status))
-        await asyncio.sleep(0.5)
+    tasks = []
+    for number in range(count):
+        tasks.append(asyncio.create_task(one(number)))
+        await asyncio.sleep(pause)
+    return await asyncio.gather(*tasks)
 
 
 async def main():
@@ -62,20 +66,16 @@
     with fleet.Folder() as folder:
         store = fleet.Store()
         await store.start()
-        crashes = []
-        for number in range(ENDPOINTS):
-            endpoint = crashing.CrashingEndpoint(
-                f"i-{number:02d}", "stock-view", "krk-b", record, store, crashes,
-                (POISON,), CRASH_AFTER_S,
-            )
-            await endpoint.launch()
+        for service, work_s in WORK_S.items():
+            for number in range(6):
+                endpoint = fleet.Endpoint(
+                    f"i-{service}-{number}", service, "krk-b", record, slots=4
+                )
+                endpoint.work_s = work_s
+                await endpoint.start()
+                await store.put(f"servers/{endpoint.ident}", endpoint.item())
         await store.put(
-            "op/config",
-            fleet.configuration(
-                1,
-                [("stock", "/stock/", "safe", 4, 0.6, "stock-view", 2)],
-                ["stock-view"],
-            ),
+            "op/config", version(1, (SLOW, 12, 1.5) if TROUBLE else None)
         )
         entry = fleet.Entry(
             "edge-krk-b-1", store, folder, {"krk-b": "malopolska"}, "krk-b"
@@ -85,23 +85,28 @@
             if not await entry.ready():
                 print("the entry did not become ready")
                 return fleet.NOT_RUN
-            await asyncio.sleep(crashing.STABLE_WINDOW_S + 1)
-            start = time.monotonic() + 0.2
-            port = entry.ports["front"]
-            results = []
-            await asyncio.gather(
-                poisoned_client(port, record, start),
-                *(
-                    other_client(n, port, record, start + ROUNDS * ROUND_S, results)
-                    for n in range(2)
-                ),
+            await asyncio.sleep(5)
+            if TROUBLE:
+                await send(entry, "/history/", "old", 40, 0.2, 12000, record)
+            await store.put("op/config", version(2, None))
+            record("operator: r2 acknowledged, without the route history")
+            await asyncio.sleep(CONFIG_APPLY_S + 1)
+            await store.put("op/config", version(3, (FAST, 1.5, 0.6)))
+            record("operator: r3 acknowledged, with the route history")
+            await asyncio.sleep(CONFIG_APPLY_S + 4)
+            first, added = await asyncio.gather(
+                send(entry, "/stock/", "first", REQUESTS, 0.25, 4000, record),
+                send(entry, "/history/", "added", REQUESTS, 0.25, 4000, record),
+            )
+            served = [statuses.count(200) / REQUESTS for statuses in (first, added)]
+            text = (
+                f"served on the first route {served[0]:.2f}, on the added route "
+                f"{served[1]:.2f} of {REQUESTS} requests each (a quarter as often "
+                "required)"
             )
-            broken = crashing.judge(POISON, crashes, record)
-            failed = [i for i, status in results if status != 200]
-            text = f"other requests: {len(results)} sent, {len(failed)} not served"
             record(text)
             print(text)
-            return fleet.BROKEN if broken else fleet.HELD
+            return fleet.BROKEN if served[1] < served[0] / 4 else fleet.HELD
         finally:
             entry.end()
 
--- a/review/support/fleet.py
+++ b/review/support/fleet.py
@@ -596,6 +596,12 @@
     held, 2 if the case could not run."""
 
     async def limited():
+        # A case that is stopped ends the processes that it has started.
+        task = asyncio.current_task()
+        # Connections that are reset after their answer are no news.
+        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         return await asyncio.wait_for(case(), limit_s)
 
     try:
