--- a/review/5/run.py
+++ b/review/5/run.py
@@ -1,11 +1,10 @@
-"""A route is dropped and added again, to a faster service with a lower time-out.
+"""A route's split is changed to weights of another scale.
 
-The route `history` goes to a service that works 2.2 s on a request, with a
-time-out of 12 s. A version drops it, and a later one adds it again under the same
-name, to a service that works 0.2 s, with a time-out of 1.5 s (config_change,
-route and timeout). Without the disruption (TROUBLE=0) the first version has
-neither the route nor its traffic, and a later one adds it. In both, requests on
-the added route are compared with those on the first route.
+At first half of the orders go to the new release of the service, as weights in
+percent: 50 and 50. Then the operator takes the new release out with the weights
+1 and 0 (config_change, weights). Without the disruption (TROUBLE=0) the weights
+are 1 and 0 from the start. Orders that are sent later than `config_apply_s`
+after the store's acknowledgement must not run at the new release.
 """
 
 import asyncio
@@ -19,96 +18,98 @@
 import fleet  # noqa: E402
 
 CONFIG_APPLY_S = 2.5
-REQUESTS = 60
-SLOW, FAST, STOCK = "order-archive", "order-archive-fast", "stock-view"
-WORK_S = {SLOW: 2.2, FAST: 0.2, STOCK: 0.3}
+MAX_SHARE_OFF = 0.2
+BEFORE = 7
+AFTER = 120
+OLD, NEW = "drop-confirm", "drop-confirm-next"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
-def version(number, history):
-    routes = [("stock", "/stock/", "safe", 4, 0.6, STOCK, 2)]
-    if history:
-        service, timeout, objective = history
-        routes.append(
-            ("history", "/history/", "safe", timeout, objective, service, 2)
-        )
-    document = fleet.configuration(number, routes, [SLOW, FAST, STOCK])
-    sticky = document["routes"]["columns"].index("sticky")
-    for row in document["routes"]["rows"]:
-        row[sticky] = False
-    return document
-
+def version(number, weights):
+    return fleet.configuration(
+        number,
+        [("confirm", "/confirm/", "unsafe", 6, 0.8, list(zip((OLD, NEW), weights)), 2)],
+        [OLD, NEW],
+    )
 
-async def send(entry, path, prefix, count, pause, deadline_ms, record):
-    """Sends requests one after the other; returns their statuses."""
 
-    async def one(number):
-        connection = fleet.Client(entry.ports["front"])
-        ident = f"{prefix}-{number:03d}"
+async def send(entry, prefix, count, record, answers):
+    connection = fleet.Client(entry.ports["front"])
+    for number in range(count):
+        ident = f"{prefix}-{entry.name[-1]}-{number:03d}"
+        sent = time.monotonic()
         answer = await connection.request(
-            "GET", f"{path}{number}", ident, deadline_ms
+            "POST", f"/confirm/{number}", ident, 6000, b"nets=2"
         )
-        reason = answer.body.decode("latin-1").strip() if answer.status != 200 else ""
-        record(f"client {ident} -> {answer} {reason}")
-        connection.close()
-        return answer.status
-
-    tasks = []
-    for number in range(count):
-        tasks.append(asyncio.create_task(one(number)))
-        await asyncio.sleep(pause)
-    return await asyncio.gather(*tasks)
+        record(f"client {ident} at {entry.name} -> {answer}")
+        answers[ident] = (sent, answer.status)
+        await asyncio.sleep(0.02)
+    connection.close()
 
 
 async def main():
     record = fleet.Record(HERE / "record.txt")
     record(f"TROUBLE={int(TROUBLE)}")
+    zones = {"krk-a": "malopolska", "krk-b": "malopolska"}
     with fleet.Folder() as folder:
         store = fleet.Store()
         await store.start()
-        for service, work_s in WORK_S.items():
+        endpoints = []
+        for service in (OLD, NEW):
             for number in range(6):
                 endpoint = fleet.Endpoint(
-                    f"i-{service}-{number}", service, "krk-b", record, slots=4
+                    f"i-{service}-{number}", service, "krk-a", record, slots=4
                 )
-                endpoint.work_s = work_s
                 await endpoint.start()
                 await store.put(f"servers/{endpoint.ident}", endpoint.item())
-        await store.put(
-            "op/config", version(1, (SLOW, 12, 1.5) if TROUBLE else None)
-        )
-        entry = fleet.Entry(
-            "edge-krk-b-1", store, folder, {"krk-b": "malopolska"}, "krk-b"
+                endpoints.append(endpoint)
+        await store.put("op/config", version(1, (50, 50) if TROUBLE else (1, 0)))
+        record(f"operator: r1 acknowledged, weights {(50, 50) if TROUBLE else (1, 0)}")
+        first = fleet.Entry("edge-krk-a-1", store, folder, zones, "krk-a")
+        second = fleet.Entry(
+            "edge-krk-b-2", store, folder, zones, "krk-b",
+            seeds=[first.bind("control")],
         )
-        entry.start()
+        entries = [first, second]
         try:
-            if not await entry.ready():
-                print("the entry did not become ready")
-                return fleet.NOT_RUN
+            for entry in entries:
+                entry.start()
+            for entry in entries:
+                if not await entry.ready():
+                    print("an entry did not become ready")
+                    return fleet.NOT_RUN
             await asyncio.sleep(5)
+            answers = {}
+            await asyncio.gather(
+                *(send(e, "before", BEFORE, record, answers) for e in entries)
+            )
             if TROUBLE:
-                await send(entry, "/history/", "old", 40, 0.2, 12000, record)
-            await store.put("op/config", version(2, None))
-            record("operator: r2 acknowledged, without the route history")
+                await store.put("op/config", version(2, (1, 0)))
+                record("operator: r2 acknowledged, weights (1, 0)")
             await asyncio.sleep(CONFIG_APPLY_S + 1)
-            await store.put("op/config", version(3, (FAST, 1.5, 0.6)))
-            record("operator: r3 acknowledged, with the route history")
-            await asyncio.sleep(CONFIG_APPLY_S + 4)
-            first, added = await asyncio.gather(
-                send(entry, "/stock/", "first", REQUESTS, 0.25, 4000, record),
-                send(entry, "/history/", "added", REQUESTS, 0.25, 4000, record),
+            await asyncio.gather(
+                *(send(e, "after", AFTER, record, answers) for e in entries)
             )
-            served = [statuses.count(200) / REQUESTS for statuses in (first, added)]
+            after = [ident for ident in answers if ident.startswith("after")]
+            wrong = [
+                ident
+                for e in endpoints
+                if e.service == NEW
+                for ident in e.ran
+                if ident.startswith("after")
+            ]
+            share = len(wrong) / len(after)
             text = (
-                f"served on the first route {served[0]:.2f}, on the added route "
-                f"{served[1]:.2f} of {REQUESTS} requests each (a quarter as often "
-                "required)"
+                f"{len(after)} orders sent {CONFIG_APPLY_S + 1:.1f} s after the "
+                f"acknowledgement and later; {len(wrong)} run by {NEW}, which has "
+                f"the weight 0 (share {share:.2f}; at most {MAX_SHARE_OFF} off allowed)"
             )
             record(text)
             print(text)
-            return fleet.BROKEN if served[1] < served[0] / 4 else fleet.HELD
+            return fleet.BROKEN if wrong else fleet.HELD
         finally:
-            entry.end()
+            for entry in entries:
+                entry.end()
 
 
 sys.exit(fleet.run_case(main))
--- a/review/support/crashing.py
+++ b/review/support/crashing.py
@@ -16,15 +16,17 @@
 
 
 class CrashingEndpoint(fleet.Endpoint):
-    """Ends `crash_after_s` after it has begun to run one of the poisoned paths:
-    it closes all its connections and refuses new ones."""
+    """Ends as soon as it has begun to run one of the poisoned paths: it closes
+    all its connections. It refuses new ones at once or, as a program whose
+    supervisor holds the listening socket, `listens_on_s` later."""
 
     def __init__(self, ident, service, zone, record, store, crashes, poison,
-                 crash_after_s=0.0):
+                 listens_on_s=0.0):
         super().__init__(ident, service, zone, record, slots=3)
         self.work = self.run_or_crash
         self.store, self.crashes, self.poison = store, crashes, poison
-        self.crash_after_s = crash_after_s
+        self.listens_on_s = listens_on_s
+        self.crashed = False
         self.starts = 0
         self.base = ident
         self.connections = set()
@@ -32,12 +34,15 @@
 
     async def launch(self):
         self.starts += 1
+        self.crashed = False
         self.ident = f"{self.base}-{self.starts}"
         self.born = int(time.time() * 1000)
         await self.start()
         await self.store.put(f"servers/{self.ident}", self.item())
 
     async def serve(self, reader, writer):
+        if self.crashed:
+            return writer.transport.abort()
         self.connections.add(writer)
         try:
             await super().serve(reader, writer)
@@ -49,23 +54,20 @@
         if path not in self.poison:
             return await self.ordinary(request)
         self.run(request)
-        # It works on although the connection may be closed meanwhile.
-        asyncio.get_running_loop().create_task(self.crash(path, request["id"]))
-        await asyncio.sleep(3600)
+        self.crashes.append((time.monotonic(), path, request["id"]))
+        self.record(f"endpoint {self.ident} crashes on {request['id']} {path}")
+        self.crashed = True
+        for writer in list(self.connections):
+            writer.transport.abort()
+        loop = asyncio.get_running_loop()
+        loop.create_task(self.expire(self.ident))
+        loop.create_task(self.come_back())
         return None
 
-    async def crash(self, path, ident):
-        await asyncio.sleep(self.crash_after_s)
-        if not self.server.is_serving():
-            return
-        self.crashes.append((time.monotonic(), path, ident))
-        self.record(f"endpoint {self.ident} crashes on {ident} {path}")
-        ended = self.ident
+    async def come_back(self):
+        await asyncio.sleep(self.listens_on_s)
         self.server.close()
-        for writer in list(self.connections):
-            writer.transport.abort()
-        asyncio.get_running_loop().create_task(self.expire(ended))
-        await asyncio.sleep(BACK_S)
+        await asyncio.sleep(BACK_S - self.listens_on_s)
         await self.launch()
 
     async def expire(self, ended):
