--- a/review/5/run.py
+++ b/review/5/run.py
@@ -106,7 +106,7 @@
             )
             record(text)
             print(text)
-            return fleet.BROKEN if wrong else fleet.HELD
+            return fleet.BROKEN if share > MAX_SHARE_OFF else fleet.HELD
         finally:
             for entry in entries:
                 entry.end()
