--- a/include/skylarkdyke/placement/placer.hpp
+++ b/include/skylarkdyke/placement/placer.hpp
@@ -22,6 +22,8 @@
 struct placement_query {
   const routing::route *Route = nullptr;
   const routing::service *Service = nullptr;
+  /// Team of the caller; null if the route needs none.
+  const routing::team *Team = nullptr;
   /// Hash of the key of the object that the request concerns, or of the request
   /// id if the request names no object.
   std::uint64_t ObjectHash = 0;
--- a/include/skylarkdyke/routing/route.hpp
+++ b/include/skylarkdyke/routing/route.hpp
@@ -2,6 +2,7 @@
 #define SKYLARKDYKE_ROUTING_ROUTE_HPP
 
 #include "skylarkdyke/base/names.hpp"
+#include "skylarkdyke/routing/team.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -43,6 +44,8 @@
   unsigned MaxAttempts = 1;
   /// Targets answer faster for objects that they have recently handled.
   bool Sticky = false;
+  /// Requests need no key of a team.
+  bool Public = false;
   /// Regions in which requests may be executed; empty means all.
   std::vector<base::region_name> AllowedRegions;
   /// Never empty. With several services, requests are split by weight.
@@ -80,6 +83,9 @@
   std::uint64_t Version = 0;
   std::vector<route> Routes;
   std::vector<service> Services;
+  /// Without a list of teams requests need no key; with one, also an empty one,
+  /// those of routes that are not public do.
+  std::optional<std::vector<team>> Teams;
   caller_limits Limits;
 };
 
