--- a/include/skylarkdyke/placement/placer.hpp
+++ b/include/skylarkdyke/placement/placer.hpp
@@ -22,8 +22,6 @@
 struct placement_query {
   const routing::route *Route = nullptr;
   const routing::service *Service = nullptr;
-  /// Team of the caller; null if the route needs none.
-  const routing::team *Team = nullptr;
   /// Hash of the key of the object that the request concerns, or of the request
   /// id if the request names no object.
   std::uint64_t ObjectHash = 0;
@@ -32,7 +30,9 @@
   /// Latest completion time that meets the route's latency objective.
   base::boot_time ObjectiveDeadline;
   /// Targets to which this request has already been sent; they are excluded.
-  std::vector<base::target_id> TriedTargets;
+  std::vector<base::target_id> TriedTargets{};
+  /// Team of the caller; null if the route needs none.
+  const routing::team *Team = nullptr;
 };
 
 /// \brief The target chosen for a request, with the estimates on which the
