Identify the team of a request by its key

Requests of routes that need a key ran without one, and targets did not get the name of the team. The teams of a configuration are decoded, with their quotas; resolveRoute identifies the team before anything else and sets Query.Team. Targets get the name of the team in place of the key. The key is looked up again before each send.

--- a/include/skylarkdyke/gateway/gateway.hpp
+++ b/include/skylarkdyke/gateway/gateway.hpp
@@ -84,6 +84,8 @@
   std::string TargetId = {};
   /// Time in milliseconds for which that target stays cold.
   std::string ColdTimeLeft = {};
+  /// Name of the caller's team, which only entries set.
+  std::string Team = {};
 };
 
 /// \brief Query of a caller for the entries that it should use.
--- a/include/skylarkdyke/routing/route_table.hpp
+++ b/include/skylarkdyke/routing/route_table.hpp
@@ -1,6 +1,7 @@
 #ifndef SKYLARKDYKE_ROUTING_ROUTE_TABLE_HPP
 #define SKYLARKDYKE_ROUTING_ROUTE_TABLE_HPP
 
+#include "skylarkdyke/routing/key_index.hpp"
 #include "skylarkdyke/routing/route.hpp"
 
 #include <memory>
@@ -9,11 +10,14 @@
 
 namespace skylarkdyke::routing {
 
-/// \brief Routes and services of one configuration, indexed for look-up.
+/// \brief Routes, services and teams of one configuration, indexed for look-up.
 /// Immutable.
 class route_table {
 public:
   explicit route_table(configuration Configuration);
+  ~route_table() = default;
+  route_table(const route_table &) = delete;
+  route_table &operator=(const route_table &) = delete;
 
   /// \brief Finds the route of a request: the route of its host with the
   /// longest matching path prefix.
@@ -31,18 +35,32 @@
   /// valid for the lifetime of the table
   const service *findService(const base::service_name &Name) const;
 
+  /// \return whether the configuration has a list of teams, so that requests of
+  /// routes that are not public need a key
+  bool hasTeams() const { return KeyIndex.has_value(); }
+
+  /// \return the team that holds a key, or null; valid for the lifetime of the
+  /// table
+  const team *findTeam(std::string_view Key) const {
+    return KeyIndex ? KeyIndex->find(Key) : nullptr;
+  }
+
   std::uint64_t version() const { return Configuration.Version; }
   const caller_limits &limits() const { return Configuration.Limits; }
   const std::vector<route> &routes() const { return Configuration.Routes; }
   const std::vector<service> &services() const {
     return Configuration.Services;
   }
+  const std::optional<std::vector<team>> &teams() const {
+    return Configuration.Teams;
+  }
 
 private:
   configuration Configuration;
   /// By normalized host name; longest prefix first.
   std::unordered_map<std::string, std::vector<const route *>> RoutesByHost;
   std::unordered_map<base::service_name, const service *> ServiceByName;
+  std::optional<key_index> KeyIndex;
 };
 
 } // namespace skylarkdyke::routing
--- a/include/skylarkdyke/routing/validation.hpp
+++ b/include/skylarkdyke/routing/validation.hpp
@@ -18,6 +18,12 @@
 /// empty if it is valid
 base::findings validate(const configuration &Configuration);
 
+/// \brief Checks the teams of a configuration: names and quotas that can be
+/// used, and keys of which each belongs to one team. Findings name no keys.
+/// \param Table JSON pointer of the list of teams
+base::findings validateTeams(const std::vector<team> &Teams,
+                             const std::string &Table);
+
 } // namespace skylarkdyke::routing
 
 #endif
--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -87,6 +87,8 @@
     respondWithError(404, "no_route", std::nullopt);
     return false;
   }
+  if (!resolveTeam())
+    return false;
   if (isBlocked()) {
     refuseBlocked();
     return false;
@@ -127,6 +129,8 @@
     return onCallerDisconnected();
   if (isBlocked())
     return refuseBlocked();
+  if (hasLostPermission())
+    return refuseLostPermission();
   const auto Now = base::boot_clock::now();
   if (Now + MinTimeToSend >= Query.Deadline) {
     if (!hasRunningAttempt())
@@ -190,7 +194,7 @@
   const auto Self = shared_from_this();
   const std::size_t Index = Attempts.size() - 1;
   Channel->callStreaming(
-      toTargetRequest(Caller->request(), Context.Headers, Chosen.Id, TimeLeft),
+      targetRequest(Chosen.Id, TimeLeft),
       {Now + ConnectTimeout, Query.Deadline, sendCheck(Chosen)},
       {[Self, Index, IsFirst = !Channel->isOpen()](
            const net::http_response_head &Head, bool Complete) mutable {
@@ -204,12 +208,16 @@
   scheduleHedge(Attempts.back());
 }
 
-/// Returns a check whether a target still wants the request once the connection
-/// to it is open, which states the time that is left by then.
+/// Returns a check whether the request is still permitted and wanted by its
+/// target once the connection to that is open. It states the time that is left
+/// by then.
 std::function<bool(net::http_request &)>
 exchange::sendCheck(const placement::chosen_target &Chosen) const {
-  return [&Context = Context, Id = Chosen.Id,
+  return [&Context = Context, Weak = weak_from_this(), Id = Chosen.Id,
           Deadline = Query.Deadline](net::http_request &Request) {
+    const auto Exchange = Weak.lock();
+    if (Exchange && Exchange->hasLostPermission())
+      return false;
     const auto Now = base::boot_clock::now();
     setTimeLeft(Request, Context.Headers,
                 std::chrono::duration_cast<milliseconds>(Deadline - Now));
@@ -425,6 +433,8 @@
   net::http_response Response = net::makeResponse(Status, Reason + "\n");
   if (RetryAfter)
     setRetryAfter(Response, *RetryAfter);
+  if (Status == 401)
+    Response.set(bhttp::field::www_authenticate, "Bearer");
   const std::string RequestId = requestHeader(Context.Headers.RequestId);
   if (!RequestId.empty())
     Response.set(Context.Headers.RequestId, RequestId);
--- a/src/gateway/detail/exchange.hpp
+++ b/src/gateway/detail/exchange.hpp
@@ -8,6 +8,7 @@
 #include "gateway/detail/send_outcome.hpp"
 #include "gateway/detail/steering_state.hpp"
 #include "gateway/detail/stop_schedule.hpp"
+#include "gateway/detail/team_labels.hpp"
 #include "gateway/detail/weighted_round_robin.hpp"
 #include "skylarkdyke/admission/retry_allowance.hpp"
 #include "skylarkdyke/metrics/registry.hpp"
@@ -15,6 +16,7 @@
 #include "skylarkdyke/net/one_shot_timer.hpp"
 #include "skylarkdyke/placement/placer.hpp"
 #include "skylarkdyke/poison/fingerprint.hpp"
+#include "skylarkdyke/routing/identification.hpp"
 #include "skylarkdyke/telemetry/decision_log.hpp"
 
 #include <limits>
@@ -56,6 +58,7 @@
       std::make_shared<std::unordered_set<exchange *>>();
   /// Time after which a leaving target gets no requests.
   std::chrono::milliseconds DrainTime{2500};
+  team_labels TeamLabels = {};
 };
 
 /// \brief Handles one request: selects a target, forwards the request,
@@ -87,6 +90,12 @@
   };
 
   bool resolveRoute();
+  bool resolveTeam();
+  bool hasLostPermission() const;
+  void refuseLostPermission();
+  void respondToKeyFault(routing::key_fault Fault);
+  net::http_request targetRequest(const base::target_id &Target,
+                                  std::chrono::milliseconds TimeLeft) const;
   void readDeadline();
   void selectTarget();
   void onNoTarget(const placement::no_target &NoTargetResult);
--- a/src/gateway/detail/exchange_log.cpp
+++ b/src/gateway/detail/exchange_log.cpp
@@ -4,8 +4,8 @@
 
 using std::chrono::nanoseconds;
 
-/// One in this many successful requests is logged; all other requests are
-/// logged without sampling.
+/// One in this many requests is logged of those that succeed or have no valid
+/// key; all other requests are logged without sampling.
 static constexpr std::uint64_t LogSamplingInterval = 64;
 
 void exchange::logFailedAttempt(const attempt &Attempt,
@@ -68,6 +68,15 @@
   logRequest(0, "broken_response");
 }
 
+/// Returns the value of the label "result".
+static const char *resultOf(unsigned Status) {
+  if (Status == 0)
+    return "aborted";
+  if (Status == 401 || Status == 429 || Status == 503)
+    return "refused";
+  return Status < 500 ? "served" : "failed";
+}
+
 void exchange::logRequest(unsigned Status, const char *Outcome) {
   const auto Now = base::boot_clock::now();
   const std::string RequestId = requestHeader(Context.Headers.RequestId);
@@ -80,8 +89,16 @@
       .latency("skylarkdyke_request_seconds", "Time to the final answer",
                {{"route", Route}})
       .observe(Now - Caller->arrivedAt());
+  const std::string Team = Query.Team ? Query.Team->Name.str() : "";
+  if (Query.Team)
+    Context.Metrics
+        .counter("skylarkdyke_team_requests_total",
+                 "Requests by team and result",
+                 {{"team", Context.TeamLabels.labelOf(Query.Team->Name)},
+                  {"result", resultOf(Status)}})
+        .add();
   const bool Succeeded = Status >= 200 && Status < 300;
-  if (Succeeded &&
+  if ((Succeeded || Status == 401) &&
       std::hash<std::string>()(RequestId) % LogSamplingInterval != 0)
     return;
   const placement::chosen_target *LastTarget =
@@ -92,6 +109,7 @@
       Context.Log, RequestEnded, Now,
       {{"request", RequestId},
        {"route", Route},
+       {"team", Team},
        {"config_version",
         static_cast<std::int64_t>(Routes ? Routes->version() : 0)},
        {"state_revision",
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -3,6 +3,7 @@
 #include "skylarkdyke/routing/validation.hpp"
 
 #include <algorithm>
+#include <random>
 
 namespace skylarkdyke::routing {
 
@@ -22,6 +23,15 @@
   Target = End == Target.size() ? "/" : Target.substr(End);
 }
 
+/// Returns the seed of the hash of keys, which differs between processes.
+static std::uint64_t keyHashSeed() {
+  static const std::uint64_t Seed = [] {
+    std::random_device Source;
+    return std::uniform_int_distribution<std::uint64_t>()(Source);
+  }();
+  return Seed;
+}
+
 route_table::route_table(configuration NewConfiguration)
     : Configuration(std::move(NewConfiguration)) {
   for (const route &Route : Configuration.Routes)
@@ -34,6 +44,8 @@
                      });
   for (const service &Service : Configuration.Services)
     ServiceByName[Service.Name] = &Service;
+  if (Configuration.Teams)
+    KeyIndex.emplace(*Configuration.Teams, keyHashSeed());
 }
 
 const route *route_table::match(std::string_view Host,
--- a/src/routing/validation.cpp
+++ b/src/routing/validation.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <cctype>
 #include <cmath>
+#include <map>
 #include <set>
+#include <string_view>
 #include <utility>
 
 namespace skylarkdyke::routing {
@@ -74,4 +76,44 @@
   return Findings;
 }
 
+/// Returns whether a text can be the value of an HTTP header field.
+static bool isHeaderValue(const std::string &Text) {
+  return !Text.empty() && Text.front() != ' ' && Text.back() != ' ' &&
+         std::none_of(Text.begin(), Text.end(), [](unsigned char Byte) {
+           return Byte < ' ' || Byte == 0x7F;
+         });
+}
+
+static bool isUsable(const request_quota &Quota) {
+  return std::isfinite(Quota.Rate) && Quota.Rate > 0 &&
+         std::isfinite(Quota.Burst) && Quota.Burst >= 0;
+}
+
+base::findings validateTeams(const std::vector<team> &Teams,
+                             const std::string &Table) {
+  base::findings Findings;
+  std::set<base::team_name> Names;
+  std::map<std::string_view, const team *> TeamByKey;
+  for (std::size_t I = 0; I < Teams.size(); ++I) {
+    const team &Team = Teams[I];
+    const std::string Location = Table + "/" + std::to_string(I);
+    if (!isHeaderValue(Team.Name.str()))
+      Findings.push_back({Location, "has no name that a header can hold"});
+    else if (!Names.insert(Team.Name).second)
+      Findings.push_back(
+          {Location, "defines \"" + Team.Name.str() + "\" once more"});
+    if (Team.Quota && !isUsable(*Team.Quota))
+      Findings.push_back({Location, "has a quota below 0"});
+    for (const std::string &Key : Team.Keys) {
+      const auto Holder = TeamByKey.emplace(Key, &Team).first->second;
+      if (!isHeaderValue(Key))
+        Findings.push_back({Location, "has a key that a header cannot hold"});
+      else if (Holder != &Team)
+        Findings.push_back(
+            {Location, "has a key of the team \"" + Holder->Name.str() + "\""});
+    }
+  }
+  return Findings;
+}
+
 } // namespace skylarkdyke::routing
--- a/tests/support/scripted_target.hpp
+++ b/tests/support/scripted_target.hpp
@@ -19,6 +19,9 @@
   std::string field(const std::string &Name) const;
   std::string requestId() const { return field("Skylarkdyke-Request-Id"); }
 
+  /// \brief All lines of the header.
+  const std::string &header() const { return Header; }
+
   /// \brief Path with query.
   std::string path() const;
 
--- a/tests/unit-platform-configuration.cpp
+++ b/tests/unit-platform-configuration.cpp
@@ -85,6 +85,61 @@
   }
 }
 
+/// Returns the valid document with teams, and a public route.
+static json documentWithTeams() {
+  json Document = validDocument();
+  Document["routes"]["columns"][0] = "public";
+  Document["routes"]["rows"][0][0] = true;
+  Document["tenants"] = json::parse(R"({"columns":["name","api_keys","priority",
+"rate_per_s","burst","allowed_regions","colour"],"rows":[
+["north-club",["k1","k2"],0,12.5,30,["north"],"red"],
+["south-club",["k3"],null,0,null,null,null],["no-keys"]]})");
+  return Document;
+}
+
+// Guards against teams of which a key, a limit or a region is lost.
+TEST(platform_configuration, TeamsAreDecoded) {
+  const auto Decoded = decode(documentWithTeams());
+  CHECK(Decoded.has_value());
+  CHECK(Decoded.value().Routes[0].Public && !Decoded.value().Routes[1].Public);
+  const std::vector<routing::team> &Teams = Decoded.value().Teams.value();
+  LONGS_EQUAL(3, Teams.size());
+  STRCMP_EQUAL("north-club", Teams[0].Name.str().c_str());
+  CHECK((Teams[0].Keys == std::vector<std::string>{"k1", "k2"}));
+  LONGS_EQUAL(0, Teams[0].Priority.value());
+  DOUBLES_EQUAL(12.5, Teams[0].Quota.value().Rate, 0);
+  DOUBLES_EQUAL(30, Teams[0].Quota.value().Burst, 0);
+  CHECK(Teams[0].AllowedRegions == std::vector{base::region_name("north")});
+  CHECK(!Teams[1].Priority && !Teams[1].Quota &&
+        Teams[1].AllowedRegions.empty());
+  CHECK(Teams[2].Keys.empty());
+  CHECK(!decode(validDocument()).value().Teams.has_value());
+}
+
+// Guards against a version in force whose teams are read in part: it would
+// admit or limit other callers than its operators want.
+TEST(platform_configuration, TeamsThatCannotBeReadRefuseTheVersion) {
+  const std::vector<std::pair<const char *, json>> Changes = {
+      {"/tenants", nullptr},          {"/tenants", json::array()},
+      {"/tenants/columns", "name"},   {"/tenants/rows", json::object()},
+      {"/tenants/rows/0", 7},         {"/tenants/rows/0/0", 7},
+      {"/tenants/rows/0/0", nullptr}, {"/tenants/rows/0/0", "south-club"},
+      {"/tenants/rows/0/1", "k1"},    {"/tenants/rows/0/1", {"k1", 2}},
+      {"/tenants/rows/0/1", {"k3"}},  {"/tenants/rows/0/1", {""}},
+      {"/tenants/rows/0/2", "high"},  {"/tenants/rows/0/3", "12.5"},
+      {"/tenants/rows/0/3", -1},      {"/tenants/rows/0/4", true},
+      {"/tenants/rows/0/5", "north"}};
+  for (const auto &[Pointer, Value] : Changes) {
+    json Document = documentWithTeams();
+    Document[json::json_pointer(Pointer)] = Value;
+    const auto Decoded = decode(Document);
+    CHECK_TEXT(!Decoded, Document.dump().c_str());
+    LONGS_EQUAL(7, Decoded.error().Version);
+    STRCMP_CONTAINS("/tenants",
+                    Decoded.error().Findings.at(0).Location.c_str());
+  }
+}
+
 /// Returns a value of any type, the values of the valid document included.
 static rc::Gen<json> anyValue() {
   return rc::gen::map(
@@ -124,6 +179,10 @@
   const routing::route_table Table(Configuration);
   gateway::detail::weighted_round_robin Selector;
   RC_ASSERT(Configuration.Version > 0U);
+  for (const routing::team &Team :
+       Configuration.Teams.value_or(std::vector<routing::team>()))
+    for (const std::string &Key : Team.Keys)
+      RC_ASSERT(Table.findTeam(Key)->Name == Team.Name);
   for (const routing::route &Route : Configuration.Routes) {
     const auto *Matched = Table.match(Route.Host, Route.PathPrefix + "x");
     RC_ASSERT(Matched != nullptr);
@@ -141,7 +200,8 @@
 // reason, or holds a route that cannot be matched and served.
 TEST(platform_configuration, EachDocumentIsRefusedOrCanBeServed) {
   CHECK(rc::check([] {
-    json Document = validDocument();
+    json Document =
+        *rc::gen::arbitrary<bool>() ? validDocument() : documentWithTeams();
     const int Changes = *rc::gen::inRange(1, 4);
     for (int I = 0; I < Changes; ++I) {
       std::vector<json::json_pointer> Pointers;
