Keep requests of a team in its regions

Only the regions of the route held. The placer now checks those of the team in each choice, and keeps region shares for each set of allowed regions. The directory honours the regions of all routes of a host instead of those of the shortest prefix.

--- a/include/skylarkdyke/placement/placer.hpp
+++ b/include/skylarkdyke/placement/placer.hpp
@@ -165,13 +165,14 @@
 private:
   struct candidate;
   struct best_candidates;
-  /// Distribution of the objects of a route over the regions.
-  struct route_shares {
+  /// Distribution of objects over the regions.
+  struct region_distribution {
     rate_limited_shares Shares;
     base::boot_time NextUpdateAt{};
   };
   region_loads regionLoads(const placement_query &Query,
                            base::boot_time Now) const;
+  region_distribution &distributionOf(const placement_query &Query);
   base::region_name homeRegion(const placement_query &Query,
                                base::boot_time Now);
   std::vector<candidate> candidatesFor(const placement_query &Query,
@@ -206,7 +207,11 @@
   admission::admission_controller Admission;
   std::unordered_map<base::service_name, std::map<base::region_name, double>>
       Demand;
-  std::unordered_map<std::string, route_shares> SharesByRoute;
+  /// By route, and by the regions in which its requests may be executed; no
+  /// regions if all are allowed.
+  std::unordered_map<std::string, std::map<std::vector<base::region_name>,
+                                           region_distribution>>
+      Distributions;
   std::map<base::region_name, std::chrono::nanoseconds> RoundTrips;
 };
 
--- a/src/gateway/detail/directory_service.cpp
+++ b/src/gateway/detail/directory_service.cpp
@@ -52,6 +52,26 @@
   return Rate;
 }
 
+/// Returns the regions to which the callers of a host may be sent. The query
+/// does not say which routes they use or which team they are of: all routes
+/// with allowed regions hold or, if these have none in common, the first one.
+std::vector<base::region_name>
+directory_service::allowedRegionsOf(const std::string &Host) const {
+  std::vector<base::region_name> Common;
+  if (!State.routes())
+    return Common;
+  for (const routing::route *Route : State.routes()->routesOf(Host)) {
+    std::vector<base::region_name> Narrowed;
+    for (const base::region_name &Region : Route->AllowedRegions)
+      if (Common.empty() ||
+          std::find(Common.begin(), Common.end(), Region) != Common.end())
+        Narrowed.push_back(Region);
+    if (!Narrowed.empty())
+      Common = std::move(Narrowed);
+  }
+  return Common;
+}
+
 std::vector<base::endpoint>
 directory_service::entriesFor(const directory_query &DirectoryQuery,
                               base::boot_time Now) const {
@@ -62,15 +82,10 @@
   for (const auto *Member : Members.liveMembers(Now))
     if (Member->Status.Ready && !Member->Status.Leaving)
       Ready.push_back(&Member->Status);
-  membership::entry_query EntryQuery{DirectoryQuery.Host,
-                                     DirectoryQuery.Region,
-                                     {},
-                                     expectedRequestRate(DirectoryQuery, Now)};
-  if (State.routes())
-    for (const routing::route *Route :
-         State.routes()->routesOf(DirectoryQuery.Host))
-      if (!Route->AllowedRegions.empty())
-        EntryQuery.AllowedRegions = Route->AllowedRegions;
+  const membership::entry_query EntryQuery{
+      DirectoryQuery.Host, DirectoryQuery.Region,
+      allowedRegionsOf(DirectoryQuery.Host),
+      expectedRequestRate(DirectoryQuery, Now)};
   return membership::entriesForCaller(Ready, Settings.RegionOf, EntryQuery,
                                       MaxDirectoryEntries);
 }
--- a/src/gateway/detail/directory_service.hpp
+++ b/src/gateway/detail/directory_service.hpp
@@ -49,6 +49,8 @@
     base::boot_time ValidUntil;
   };
 
+  std::vector<base::region_name>
+  allowedRegionsOf(const std::string &Host) const;
   std::vector<base::endpoint> entriesFor(const directory_query &DirectoryQuery,
                                          base::boot_time Now) const;
   double expectedRequestRate(const directory_query &DirectoryQuery,
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -1,5 +1,7 @@
 #include "skylarkdyke/placement/placer.hpp"
 
+#include "skylarkdyke/routing/team_rules.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <xxhash.h>
@@ -21,6 +23,10 @@
 static constexpr double MaxShiftPerSecond = 0.05;
 /// Period in which the shares of the regions are updated.
 static constexpr milliseconds SharesUpdatePeriod{100};
+/// Maximum number of sets of allowed regions for which the shares of a route
+/// are kept. Beyond it the set that has been unused for longest is dropped; its
+/// shares then start at their goal.
+static constexpr std::size_t MaxDistributionsPerRoute = 64;
 /// Round-trip time assumed for another region until it has been measured.
 static constexpr milliseconds AssumedRoundTrip{80};
 /// Weight of the newest sample in the moving average of the round-trip time.
@@ -131,18 +137,16 @@
                                                           (Time - It->second));
 }
 
-static bool isAllowed(const routing::route &Route,
-                      const base::region_name &Region) {
-  const auto &Allowed = Route.AllowedRegions;
-  return Allowed.empty() ||
-         std::find(Allowed.begin(), Allowed.end(), Region) != Allowed.end();
+static bool isAllowed(const placement_query &Query,
+                      const target_state &Target) {
+  return routing::isRegionAllowed(*Query.Route, Query.Team, Target.Region);
 }
 
 region_loads placer::regionLoads(const placement_query &Query,
                                  base::boot_time Now) const {
   region_loads Loads;
   for (const target_state *State : Registry.targetsOf(Query.Service->Name)) {
-    if (!isAllowed(*Query.Route, State->Region))
+    if (!isAllowed(Query, *State))
       continue;
     region_load &Load = Loads[State->Region];
     // The slots of slow targets count in proportion to their speed, those of
@@ -160,12 +164,31 @@
   return Loads;
 }
 
+/// Returns the shares of the requests of a route that have the same allowed
+/// regions.
+placer::region_distribution &
+placer::distributionOf(const placement_query &Query) {
+  const auto Regions = routing::allowedRegions(*Query.Route, Query.Team);
+  auto &ByRegions = Distributions[Query.Route->Name];
+  const auto [Found, IsNew] =
+      ByRegions.try_emplace(Regions.value_or(std::vector<base::region_name>()));
+  if (IsNew && ByRegions.size() > MaxDistributionsPerRoute)
+    ByRegions.erase(std::min_element(
+        ByRegions.begin(), ByRegions.end(),
+        [New = Found](const auto &Left, const auto &Right) {
+          return Left.first != New->first &&
+                 (Right.first == New->first ||
+                  Left.second.NextUpdateAt < Right.second.NextUpdateAt);
+        }));
+  return Found->second;
+}
+
 base::region_name placer::homeRegion(const placement_query &Query,
                                      base::boot_time Now) {
-  route_shares &RouteShares = SharesByRoute[Query.Route->Name];
-  rate_limited_shares &Shares = RouteShares.Shares;
-  if (Now >= RouteShares.NextUpdateAt) {
-    RouteShares.NextUpdateAt = Now + SharesUpdatePeriod;
+  region_distribution &Distribution = distributionOf(Query);
+  rate_limited_shares &Shares = Distribution.Shares;
+  if (Now >= Distribution.NextUpdateAt) {
+    Distribution.NextUpdateAt = Now + SharesUpdatePeriod;
     Shares.approach(
         distributeDemand(regionLoads(Query, Now), OwnRegion, SpilloverFraction),
         MaxShiftPerSecond, Now);
@@ -207,8 +230,7 @@
   nanoseconds Shortest = nanoseconds::max();
   for (const target_state *State : Registry.targetsOf(Query.Service->Name)) {
     const auto From = std::max(Now, State->PausedUntil);
-    if (isAllowed(*Query.Route, State->Region) &&
-        Registry.acceptsRequests(*State, From))
+    if (isAllowed(Query, *State) && Registry.acceptsRequests(*State, From))
       Shortest = std::min<nanoseconds>(Shortest, From - Now);
   }
   return Shortest == nanoseconds::max() ? nanoseconds(0) : Shortest;
@@ -277,7 +299,7 @@
       continue;
     if (!Registry.acceptsRequests(*State, Now) ||
         State->UsableUntil.has_value() != Leaving ||
-        !isAllowed(*Query.Route, State->Region) ||
+        !isAllowed(Query, *State) ||
         std::find(Query.TriedTargets.begin(), Query.TriedTargets.end(),
                   State->Target.Id) != Query.TriedTargets.end())
       continue;
--- a/tests/unit-placement-placer.cpp
+++ b/tests/unit-placement-placer.cpp
@@ -126,6 +126,57 @@
   STRCMP_EQUAL("", choose(query(1)).c_str());
 }
 
+// Guards against requests of a team that run outside its regions: at their home
+// region, at leaving targets, as a second send, or when their own targets are
+// full, away or paused.
+TEST(placement_placer, RegionsOfTheTeamAreEnforced) {
+  addTargets(2, NorthA);
+  addTargets(2, SouthA);
+  routing::team Team;
+  Team.AllowedRegions = {base::region_name("south")};
+  const auto ChooseForTeam = [&](std::uint64_t Object,
+                                 std::vector<base::target_id> Tried = {}) {
+    auto Query = query(Object);
+    Query.Team = &Team;
+    Query.TriedTargets = std::move(Tried);
+    return choose(Query);
+  };
+  for (std::uint64_t Object = 1; Object < 50; ++Object) {
+    const std::string First = ChooseForTeam(Object);
+    CHECK(First.find("south") == 0);
+    CHECK(ChooseForTeam(Object, {base::target_id(First)}).find("south") == 0);
+    // The regions of one team hold for no other request of the route.
+    CHECK(choose(query(Object)).find("north") == 0);
+  }
+  STRCMP_EQUAL("", ChooseForTeam(1, {base::target_id("south-a0"),
+                                     base::target_id("south-a1")})
+                       .c_str());
+  for (const char *Id : {"south-a0", "south-a1"})
+    for (int I = 0; I < 20; ++I)
+      Registry.beginSend(base::target_id(Id), Now);
+  STRCMP_EQUAL("", ChooseForTeam(1).c_str());
+  Registry.startEvacuation(SouthA);
+  STRCMP_EQUAL("", ChooseForTeam(1).c_str());
+  Route.AllowedRegions = {North};
+  STRCMP_EQUAL("", ChooseForTeam(1).c_str());
+}
+
+// Guards against state that grows without bound with the sets of regions of
+// teams, and against a set that is dropped while it is used.
+TEST(placement_placer, ManySetsOfRegionsAreServed) {
+  addTargets(2, NorthA);
+  addTargets(2, SouthA);
+  for (int I = 0; I < 500; ++I, Now += 10ms) {
+    routing::team Team;
+    Team.AllowedRegions = {base::region_name("south"),
+                           base::region_name(std::to_string(I))};
+    auto Query = query(1);
+    Query.Team = &Team;
+    CHECK(choose(Query).find("south") == 0);
+    CHECK(choose(query(1)).find("north") == 0);
+  }
+}
+
 // Guards against a burst at a target that restarts cold: the entries of a
 // region must together stay within the tolerated rate.
 TEST(placement_placer, EntriesTogetherRespectTheColdRate) {
