Separate a request and its response from the connection

A connection was itself its pending request, so that it could have only one. received_request now holds one request and its response, and session reads, watches the caller and writes the responses of its line in order. It still reads one request at a time.

One change of behaviour: the caller's leaving is also seen while bytes of a next request are unread.

--- /dev/null
+++ b/src/net/detail/received_request.cpp
@@ -0,0 +1,115 @@
+#include "net/detail/received_request.hpp"
+
+#include "net/detail/session.hpp"
+
+#include <utility>
+
+namespace skylarkdyke::net::detail {
+
+namespace bhttp = boost::beast::http;
+
+received_request::received_request(std::weak_ptr<session> Connection,
+                                   std::string CallerAddress,
+                                   http_request Request, bool KeepAlive)
+    : Connection(std::move(Connection)),
+      CallerAddress(std::move(CallerAddress)), Request(std::move(Request)),
+      KeepAlive(KeepAlive) {}
+
+bool received_request::hasCallerDisconnected() const {
+  const auto Session = Connection.lock();
+  return !Session || Session->hasCallerLeft();
+}
+
+void received_request::answer(http_response NewResponse) {
+  const auto Session = Connection.lock();
+  if (State != state::Unanswered || !Session)
+    return;
+  State = state::Complete;
+  OnDisconnected = nullptr;
+  Response = std::move(NewResponse);
+  Session->writeNext();
+}
+
+void received_request::startResponse(http_response_head NewHead,
+                                     std::optional<std::uint64_t> NewLength) {
+  if (State != state::Unanswered)
+    return;
+  State = state::Streaming;
+  Head = std::move(NewHead);
+  Length = NewLength;
+}
+
+void received_request::writePiece(std::string Body, bool Last,
+                                  std::function<void()> NewOnWritten) {
+  const auto Session = Connection.lock();
+  if (State != state::Streaming || !Session)
+    return;
+  Piece = piece{std::move(Body), Last};
+  OnWritten = std::move(NewOnWritten);
+  if (Last) {
+    State = state::Complete;
+    OnDisconnected = nullptr;
+  }
+  Session->writeNext();
+}
+
+void received_request::abandon() {
+  if (State != state::Unanswered && State != state::Streaming)
+    return;
+  State = state::Abandoned;
+  OnDisconnected = nullptr;
+  if (const auto Session = Connection.lock())
+    Session->onAbandoned(*this);
+}
+
+http_response &received_request::prepareResponse(bool KeepOpen) {
+  LeavesOpen = KeepOpen;
+  Response->version(11);
+  Response->keep_alive(KeepOpen);
+  // A response to HEAD carries the length of a body that is not sent, so the
+  // Content-Length header is left as it is.
+  if (Request.method() != bhttp::verb::head)
+    Response->prepare_payload();
+  return *Response;
+}
+
+void received_request::startStream(bool KeepOpen) {
+  LeavesOpen = KeepOpen;
+  Stream.emplace(std::move(Head), Length, KeepOpen);
+}
+
+response_stream::frame received_request::takeFrame() {
+  piece Next = std::move(*Piece);
+  Piece.reset();
+  return Stream->makeFrame(std::move(Next.Body), Next.Last);
+}
+
+void received_request::releaseSent() {
+  Response.reset();
+  if (Stream)
+    Stream->releasePiece();
+}
+
+void received_request::onPieceWritten() {
+  if (const auto Callback = std::exchange(OnWritten, nullptr))
+    Callback();
+}
+
+void received_request::onWriteFailed(const std::string &Reason) {
+  State = state::Closed;
+  if (const auto Callback = std::exchange(OnResponseLost, nullptr))
+    Callback(Reason);
+}
+
+void received_request::onConnectionClosed() {
+  if (State == state::Complete)
+    return onWriteFailed("the connection was closed");
+  if (State == state::Abandoned)
+    return;
+  State = state::Closed;
+  OnWritten = nullptr;
+  if (const auto Callback = std::exchange(OnDisconnected, nullptr))
+    Callback();
+}
+
+} // namespace skylarkdyke::net::detail
--- a/src/net/detail/session.hpp
+++ b/src/net/detail/session.hpp
@@ -1,7 +1,7 @@
 #ifndef SKYLARKDYKE_NET_DETAIL_SESSION_HPP
 #define SKYLARKDYKE_NET_DETAIL_SESSION_HPP
 
-#include "net/detail/response_stream.hpp"
+#include "net/detail/received_request.hpp"
 #include "skylarkdyke/net/http_server.hpp"
 #include "skylarkdyke/net/one_shot_timer.hpp"
 
@@ -9,8 +9,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <deque>
 #include <optional>
-#include <sys/socket.h>
 #include <unordered_set>
 #include <utility>
 
@@ -59,125 +59,87 @@
 
 /// One connection of a caller. Requests are read one at a time: the next one
 /// after the response to the previous one.
-class session : public pending_request,
-                public std::enable_shared_from_this<session> {
+class session : public std::enable_shared_from_this<session> {
 public:
-  session(std::shared_ptr<http_server::impl> Owner, tcp::socket Socket)
-      : Server(std::move(Owner)), Socket(std::move(Socket)),
-        Timer(Server->Loop) {
-    Server->Sessions.insert(this);
-    error_code Failure;
-    const auto Peer = this->Socket.remote_endpoint(Failure);
-    if (!Failure)
-      CallerAddress = Peer.address().to_string();
-  }
-  ~session() override {
-    setActive(false);
-    Server->Sessions.erase(this);
-  }
+  session(std::shared_ptr<http_server::impl> Owner, tcp::socket Socket);
+  ~session();
+  session(const session &) = delete;
+  session &operator=(const session &) = delete;
 
   void start();
 
   /// Closes the connection unless a request has arrived on it, which then
   /// counts as active.
-  void closeIfIdle() {
-    if (IsActive)
-      return;
-    if (hasUnreadBytes())
-      setActive(true);
-    else
-      closeSocket();
-  }
+  void closeIfIdle();
 
-  const http_request &request() const override { return Request; }
-  base::boot_time arrivedAt() const override { return ArrivedAt; }
-  const std::string &callerAddress() const override { return CallerAddress; }
-  bool hasCallerDisconnected() const override {
-    return peek() == peer_state::Disconnected;
-  }
-  void onCallerDisconnected(std::function<void()> Callback) override {
-    OnDisconnected = std::move(Callback);
-  }
-  void
-  onResponseLost(std::function<void(const std::string &)> Callback) override {
-    OnResponseLost = std::move(Callback);
-  }
-  void answer(http_response Response) override;
-  void startResponse(http_response_head Head,
-                     std::optional<std::uint64_t> Length) override;
-  void writePiece(std::string Piece, bool Last,
-                  std::function<void()> OnWritten) override;
-  void abandon() override;
+  /// Returns whether the caller has closed the connection, also if the event
+  /// loop has not told yet.
+  bool hasCallerLeft() const;
+
+  /// Writes what waits of the first request's response.
+  void writeNext();
+
+  /// Closes the connection if the request is the first one; otherwise once it
+  /// is.
+  void onAbandoned(const received_request &Request);
 
 private:
-  enum class peer_state {
-    /// Nothing has arrived.
-    Silent,
-    /// The start of the next request has arrived.
-    Sending,
-    Disconnected,
-  };
+  using parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
 
-  /// Looks at the socket without reading from it.
-  peer_state peek() const {
-    char Byte = 0;
-    const ssize_t Count =
-        recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (Count > 0)
-      return peer_state::Sending;
-    return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)
-               ? peer_state::Silent
-               : peer_state::Disconnected;
-  }
+  enum class read_state {
+    /// No request is being read.
+    Waiting,
+    Header,
+    Body,
+    /// No further request is read.
+    Ended,
+  };
 
   /// A request may be in the receive buffer whose handler has not run yet.
-  bool hasUnreadBytes() {
-    error_code Ignored;
-    return Socket.available(Ignored) > 0;
-  }
+  bool hasUnreadBytes();
 
   void awaitRequest();
+  void watch();
+  void onReadable();
   void readHeader();
   void onHeader(const error_code &Failure);
   void readBody();
   void onBody(const error_code &Failure);
-  void watchForDisconnect();
-  void onReadable();
+  bool mayUseRead(const error_code &Failure);
   void rejectUnreadable(const error_code &Failure);
   void reject(unsigned Status, const std::string &Reason);
   void onCallerLeft();
-  bool mustClose() const { return !PeerKeepsAlive || Server->Draining; }
-  void write(bool Close);
+  bool closesAfter(const received_request &First);
+  void writeResponse(const std::shared_ptr<received_request> &First);
+  void writePiece(const std::shared_ptr<received_request> &First);
+  bool isFirst(const received_request &Request) const {
+    return !Line.empty() && Line.front().get() == &Request;
+  }
   void onPieceWritten(const error_code &Failure,
-                      const std::shared_ptr<response_stream> &Written,
-                      const std::function<void()> &OnWritten);
-  void finishWrite(const error_code &Failure, bool Close);
+                      const std::shared_ptr<received_request> &First);
+  void onResponseWritten(const error_code &Failure,
+                         const std::shared_ptr<received_request> &First);
+  void onFirstAnswered();
   void closeAfterResponse();
   void discardBytes();
   void closeAt(base::boot_time Until);
   void setIdleTimer();
   void onIdleTimeout();
-
-  void closeSocket() {
-    error_code Ignored;
-    Timer.cancel();
-    Socket.shutdown(tcp::socket::shutdown_both, Ignored);
-    Socket.close(Ignored);
-  }
-  void setActive(bool Active) {
-    if (Active == IsActive)
-      return;
-    IsActive = Active;
-    Server->ActiveRequests += Active ? 1 : -1;
-  }
-
-  using parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  void closeSocket();
+  void close();
+  void endRequestsFrom(std::size_t Index);
+  void setBusy(bool NewBusy);
+  void countRequests();
 
   std::shared_ptr<http_server::impl> Server;
   /// Mutable because Asio has no constant access to the native handle.
   mutable tcp::socket Socket;
+  /// Limits the time of the write, else that of the read, else that of the idle
+  /// connection.
   one_shot_timer Timer;
+  /// Looks for the caller's leaving while its bytes stay unread.
+  std::optional<one_shot_timer> PollTimer;
   boost::beast::flat_buffer Buffer;
   /// Time by which the connection closes after its last response.
   base::boot_time LingerUntil{};
@@ -186,18 +148,22 @@
   base::message_limits ReadLimits;
   /// Header of a request whose body is being read.
   http_request::header_type Header;
-  http_request Request;
-  http_response Response;
-  /// Response that is sent in pieces; null once its last piece was given.
-  std::shared_ptr<response_stream> Stream;
   std::string CallerAddress;
-  base::boot_time ArrivedAt{};
+  /// Requests without a complete response, in the order of their arrival.
+  std::deque<std::shared_ptr<received_request>> Line;
   base::boot_time IdleSince{};
-  std::function<void()> OnDisconnected;
-  std::function<void(const std::string &)> OnResponseLost;
-  bool IsActive = false;
-  bool Answerable = false;
-  bool PeerKeepsAlive = false;
+  read_state Reading = read_state::Waiting;
+  /// Number of requests that the server counts for this connection.
+  std::size_t CountedRequests = 0;
+  /// A request is being read, or the last response was sent.
+  bool Busy = false;
+  /// The socket is watched for bytes and for its end.
+  bool Watching = false;
+  bool Writing = false;
+  /// The last response was sent.
+  bool Lingering = false;
+  /// The caller left while the last byte of a response was being written.
+  bool CallerLeft = false;
 };
 
 } // namespace detail
--- a/src/net/detail/session_response.cpp
+++ b/src/net/detail/session_response.cpp
@@ -16,90 +16,88 @@
 /// was answered early: many callers read the response only after the body.
 static constexpr std::chrono::milliseconds MaxLingerTime{5000};
 
-void session::answer(http_response NewResponse) {
-  if (!Answerable)
+void session::writeNext() {
+  if (Writing || Line.empty() || !Socket.is_open())
     return;
-  Answerable = false;
-  OnDisconnected = nullptr;
-  error_code Ignored;
-  Socket.cancel(Ignored);
-  Response = std::move(NewResponse);
-  Response.version(11);
-  const bool Close = mustClose();
-  Response.keep_alive(!Close);
-  // A response to HEAD carries the length of a body that is not sent, so the
-  // Content-Length header is left as it is.
-  if (Request.method() != bhttp::verb::head)
-    Response.prepare_payload();
-  write(Close);
+  const std::shared_ptr<received_request> First = Line.front();
+  if (First->isAbandoned())
+    return close();
+  if (First->hasResponse())
+    writeResponse(First);
+  else if (First->hasPiece())
+    writePiece(First);
 }
 
-void session::write(bool Close) {
-  closeAt(base::boot_clock::now() + TransferTimeout);
-  const auto OnDone = [Self = shared_from_this(),
-                       Close](const error_code &Result, std::size_t) {
-    Self->finishWrite(Result, Close);
-  };
-  bhttp::async_write(Socket, Response, OnDone);
+/// Returns whether the connection closes after the response to the first
+/// request, and reads no further request then.
+bool session::closesAfter(const received_request &First) {
+  const bool Close = !First.keepsAlive() || Server->Draining;
+  if (Close)
+    Reading = read_state::Ended;
+  return Close;
 }
 
-void session::startResponse(http_response_head Head,
-                            std::optional<std::uint64_t> Length) {
-  if (!Answerable)
-    return;
-  Answerable = false;
-  Stream =
-      std::make_shared<response_stream>(std::move(Head), Length, !mustClose());
+void session::writeResponse(const std::shared_ptr<received_request> &First) {
+  http_response &Response = First->prepareResponse(!closesAfter(*First));
+  Writing = true;
+  closeAt(base::boot_clock::now() + TransferTimeout);
+  bhttp::async_write(Socket, Response,
+                     [Self = shared_from_this(),
+                      First](const error_code &Result, std::size_t) {
+                       Self->onResponseWritten(Result, First);
+                     });
 }
 
-void session::writePiece(std::string Piece, bool Last,
-                         std::function<void()> OnWritten) {
-  if (!Stream)
-    return;
-  const auto Current = Stream;
-  if (Last) {
-    Stream.reset();
-    OnDisconnected = nullptr;
-    error_code Ignored;
-    Socket.cancel(Ignored);
-  }
+void session::writePiece(const std::shared_ptr<received_request> &First) {
+  if (!First->hasStartedToSend())
+    First->startStream(!closesAfter(*First));
+  const bool Last = First->isComplete();
+  Writing = true;
   closeAt(base::boot_clock::now() + TransferTimeout);
-  asio::async_write(Socket, Current->makeFrame(std::move(Piece), Last),
-                    [Self = shared_from_this(), Current, Last,
-                     OnWritten = std::move(OnWritten)](const error_code &Result,
-                                                       std::size_t) {
+  asio::async_write(Socket, First->takeFrame(),
+                    [Self = shared_from_this(), First,
+                     Last](const error_code &Result, std::size_t) {
                       if (Last)
-                        Self->finishWrite(Result, !Current->keepsAlive());
+                        Self->onResponseWritten(Result, First);
                       else
-                        Self->onPieceWritten(Result, Current, OnWritten);
+                        Self->onPieceWritten(Result, First);
                     });
 }
 
 void session::onPieceWritten(const error_code &Failure,
-                             const std::shared_ptr<response_stream> &Written,
-                             const std::function<void()> &OnWritten) {
-  Written->releasePiece();
-  if (Stream != Written)
+                             const std::shared_ptr<received_request> &First) {
+  Writing = false;
+  First->releaseSent();
+  if (!isFirst(*First))
     return;
   Timer.cancel();
   if (Failure)
     return onCallerLeft();
-  OnWritten();
+  First->onPieceWritten();
 }
 
-void session::finishWrite(const error_code &Failure, bool Close) {
-  // An idle connection keeps no body.
-  std::string().swap(Response.body());
-  const auto LostCallback = std::exchange(OnResponseLost, nullptr);
-  if (Failure && LostCallback)
-    LostCallback(Failure.message());
-  if (Failure) {
-    setActive(false);
-    return closeSocket();
-  }
-  if (Close)
+void session::onResponseWritten(
+    const error_code &Failure, const std::shared_ptr<received_request> &First) {
+  Writing = false;
+  First->releaseSent();
+  if (!isFirst(*First))
+    return;
+  Timer.cancel();
+  Line.pop_front();
+  if (Failure)
+    First->onWriteFailed(Failure.message());
+  if (Failure || CallerLeft)
+    return close();
+  if (!First->leavesOpen())
     return closeAfterResponse();
-  awaitRequest();
+  onFirstAnswered();
+}
+
+void session::onFirstAnswered() { awaitRequest(); }
+
+void session::onAbandoned(const received_request &Request) {
+  if (isFirst(Request))
+    close();
 }
 
 /// Closes the connection once the caller has closed it or is silent. If
@@ -107,6 +105,9 @@
 /// reset, and the caller could lose the response.
 void session::closeAfterResponse() {
   error_code Ignored;
+  Lingering = true;
+  setBusy(true);
+  Socket.cancel(Ignored);
   Socket.shutdown(tcp::socket::shutdown_send, Ignored);
   // A stop does not wait for the body of a request that was answered early.
   LingerUntil = base::boot_clock::now() +
@@ -121,19 +122,8 @@
       [Self = shared_from_this()](const error_code &Failure, std::size_t) {
         if (!Failure)
           return Self->discardBytes();
-        Self->setActive(false);
-        Self->closeSocket();
+        Self->close();
       });
 }
 
-void session::abandon() {
-  if (!Answerable && !Stream)
-    return;
-  Answerable = false;
-  Stream.reset();
-  OnDisconnected = nullptr;
-  setActive(false);
-  closeSocket();
-}
-
 } // namespace skylarkdyke::net::detail
