--- a/include/skylarkdyke/placement/placer.hpp
+++ b/include/skylarkdyke/placement/placer.hpp
@@ -1,7 +1,9 @@
 #ifndef SKYLARKDYKE_PLACEMENT_PLACER_HPP
 #define SKYLARKDYKE_PLACEMENT_PLACER_HPP
 
+#include "skylarkdyke/admission/active_priorities.hpp"
 #include "skylarkdyke/admission/admission_controller.hpp"
+#include "skylarkdyke/admission/waiting_requests.hpp"
 #include "skylarkdyke/placement/processing_time_model.hpp"
 #include "skylarkdyke/placement/region_shares.hpp"
 #include "skylarkdyke/placement/target_registry.hpp"
@@ -73,8 +75,18 @@
   std::chrono::nanoseconds RetryAfter{0};
 };
 
+/// \brief A request must wait at this entry until a target has a free slot,
+/// because the service also gets requests of a higher priority, which it could
+/// not let pass in the queue of the target.
+struct slot_wait {
+  base::target_id Target;
+  /// Where the request waits. From its start time on it may join the queue of
+  /// a target.
+  admission::waiting_place Place;
+};
+
 /// \brief Result of the choice of a target.
-using placement_result = std::variant<chosen_target, no_target>;
+using placement_result = std::variant<chosen_target, no_target, slot_wait>;
 
 /// \brief This entry's share of the request rates that cold targets tolerate.
 ///
@@ -140,6 +152,9 @@
   /// \return the target, or the reason why there is none
   placement_result choose(const placement_query &Query, base::boot_time Now);
 
+  /// \return the requests that wait at this entry for a free slot
+  admission::waiting_requests &waitingRequests() { return Waiting; }
+
   /// \brief Returns the time until the first target that is allowed for a
   /// request accepts requests; 0 if one accepts them now or if none is known.
   std::chrono::nanoseconds timeUntilTarget(const placement_query &Query,
@@ -197,6 +212,8 @@
                                 base::boot_time Now) const;
   bool hasCapacity(const candidate &Best, const placement_query &Query,
                    base::boot_time Now);
+  bool mustWait(const candidate &Best, const placement_query &Query,
+                base::boot_time Now) const;
   std::chrono::nanoseconds roundTrip(const base::region_name &Region) const;
 
   target_registry &Registry;
@@ -204,6 +221,8 @@
   cold_rate_share ColdRateShare;
   processing_time_model ProcessingTimes;
   admission::admission_controller Admission;
+  admission::active_priorities Priorities;
+  admission::waiting_requests Waiting;
   std::unordered_map<base::service_name, std::map<base::region_name, double>>
       Demand;
   std::unordered_map<std::string, route_shares> SharesByRoute;
--- a/include/skylarkdyke/placement/processing_time_model.hpp
+++ b/include/skylarkdyke/placement/processing_time_model.hpp
@@ -47,10 +47,13 @@
   void recordSample(const std::string &RouteName, bool Warm,
                     std::chrono::nanoseconds ProcessingTime);
 
-  /// \brief Whether the processing time of a route has been measured.
-  bool hasSamples(const std::string &RouteName) const {
-    return TimesByRoute.count(RouteName) != 0;
-  }
+  /// \brief Records that a request of a route was answered.
+  void recordAnswer(const std::string &RouteName, base::boot_time Now);
+
+  /// \brief Whether the processing time of a route has been measured, and
+  /// requests of the route were answered lately. Otherwise the measured time
+  /// may be that of an earlier route of the same name.
+  bool hasSamples(const std::string &RouteName, base::boot_time Now) const;
 
   /// \brief Expected processing times; derived from the latency objective
   /// until there is a sample.
@@ -69,6 +72,7 @@
   struct route_times {
     std::chrono::duration<double> Warm{0};
     std::chrono::duration<double> NotWarm{0};
+    base::boot_time AnsweredAt{};
   };
   std::unordered_map<std::string, route_times> TimesByRoute;
   std::unordered_map<std::uint64_t, base::boot_time> LastHandledAt;
--- a/include/skylarkdyke/placement/target_registry.hpp
+++ b/include/skylarkdyke/placement/target_registry.hpp
@@ -26,6 +26,9 @@
   /// Requests in the target's queue.
   unsigned Waiting = 0;
   unsigned Slots = 0;
+  /// How long work takes on the target's machine at the moment, as a multiple
+  /// of the usual time; nothing if the target does not say so.
+  std::optional<double> Slowdown;
 };
 
 /// \brief Outcome of a send, by what it says about the target.
@@ -67,6 +70,10 @@
   /// report ages.
   double AverageOtherEntriesLoad = 0;
   base::boot_time LoadReportedAt{};
+  /// Slowdown that the target reported last, relative to the average of its
+  /// service; 1 if it has reported none.
+  double RelativeSlowdown = 1;
+  base::boot_time SlowdownReportedAt{};
   /// Moving average of the ratio of measured to expected processing time.
   double LatencyRatio = 1;
   /// Moving average of the share of sends that failed, from 0 to 1; a refusal
@@ -201,6 +208,11 @@
   /// known to be wrong.
   bool acceptsRequests(const target_state &State, base::boot_time Now) const;
 
+  /// \return by how much longer work takes at a target than on average of its
+  /// service: what it reported last, which loses its weight within seconds
+  static double expectedSlowdown(const target_state &State,
+                                 base::boot_time Now);
+
   /// \return estimated number of requests currently at the target, those of
   /// other entries included
   double expectedLoad(const target_state &State, base::boot_time Now) const;
@@ -228,6 +240,8 @@
   std::map<base::domain_name, base::region_name> RegionOf;
   std::unordered_map<base::target_id, std::unique_ptr<target_state>> States;
   std::unordered_map<base::service_name, std::vector<target_state *>> ByService;
+  /// Moving average of the slowdowns that the targets of a service report.
+  std::unordered_map<base::service_name, double> AverageSlowdown;
   std::set<base::domain_name> Evacuated;
   leaving_targets Leaving;
   /// Time at which the first target was added.
--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -4,6 +4,7 @@
 #include "gateway/detail/target_signals.hpp"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <cstdio>
 #include <cstdlib>
 #include <utility>
@@ -30,6 +31,9 @@
 /// request is rejected immediately.
 static constexpr unsigned MaxColdWaits = 3;
 static constexpr milliseconds MaxColdWait{150};
+/// Period in which a request that waits for a free slot of one target looks for
+/// another target.
+static constexpr milliseconds SlotCheckPeriod{50};
 /// Retry delay given to callers whose request arrives late in a stop; other
 /// entries serve them.
 static constexpr milliseconds StopRetryAfter{50};
@@ -122,6 +126,7 @@
 }
 
 void exchange::selectTarget() {
+  stopWaitingForSlot();
   // A late event loop may not have told yet.
   if (Caller->hasCallerDisconnected())
     return onCallerDisconnected();
@@ -136,6 +141,8 @@
   const auto Choice = Context.Placer.choose(Query, Now);
   if (const auto *NoTargetResult = std::get_if<placement::no_target>(&Choice))
     return onNoTarget(*NoTargetResult);
+  if (const auto *Wait = std::get_if<placement::slot_wait>(&Choice))
+    return waitForSlot(*Wait);
   send(std::get<placement::chosen_target>(Choice));
 }
 
@@ -159,6 +166,43 @@
                        [Self = shared_from_this()] { Self->selectTarget(); });
 }
 
+void exchange::waitForSlot(const placement::slot_wait &Wait) {
+  if (hasRunningAttempt())
+    return;
+  Context.Metrics
+      .counter("skylarkdyke_slot_waits_total",
+               "Waits for a free slot of a target, by service",
+               {{"service", Query.Service->Name.str()}})
+      .add();
+  SlotWait = Wait;
+  SlotWait->Place = Context.Placer.waitingRequests().add(
+      Wait.Target, Wait.Place, [Weak = weak_from_this()] {
+        if (const auto Exchange = Weak.lock())
+          Exchange->selectTarget();
+      });
+  NextAttemptTimer.set(
+      std::min(Wait.Place.StartBy, base::boot_clock::now() + SlotCheckPeriod),
+      [Self = shared_from_this()] { Self->selectTarget(); });
+}
+
+void exchange::stopWaitingForSlot() {
+  if (!SlotWait)
+    return;
+  NextAttemptTimer.cancel();
+  Context.Placer.waitingRequests().remove(SlotWait->Target, SlotWait->Place);
+  SlotWait.reset();
+}
+
+/// Lets the next request that waits for a target try again, once the current
+/// event has been handled.
+void exchange::wakeWaitingRequest(const base::target_id &Target) {
+  if (!Context.Placer.waitingRequests().hasWaiting(Target))
+    return;
+  boost::asio::post(Context.Loop, [&Context = Context, Target] {
+    Context.Placer.waitingRequests().wakeFirst(Target);
+  });
+}
+
 void exchange::onNoTarget(const placement::no_target &NoTargetResult) {
   if (hasRunningAttempt())
     return;
@@ -260,6 +304,7 @@
 void exchange::onCallResult(std::size_t Index, net::call_result Result) {
   attempt &Attempt = Attempts[Index];
   Attempt.Running = false;
+  wakeWaitingRequest(Attempt.Chosen.Id);
   const auto Now = base::boot_clock::now();
   Context.Placer.recordRoundTrip(Attempt.Chosen.Id,
                                  Attempt.Channel->connectTime());
@@ -370,6 +415,7 @@
 
 void exchange::cancelRunningAttempts() {
   Done = true;
+  stopWaitingForSlot();
   NextAttemptTimer.cancel();
   for (std::size_t I = 0; I < Attempts.size(); ++I)
     if (Attempts[I].Running && !isRelayed(I))
@@ -381,6 +427,7 @@
     return;
   logRequest(0, "caller_gone");
   Done = true;
+  stopWaitingForSlot();
   NextAttemptTimer.cancel();
   // An attempt of a request that is not idempotent continues until its
   // response starts: if it were cancelled, it would be unknown whether the
@@ -414,6 +461,7 @@
 
 void exchange::respond(net::http_response Response, const char *Outcome) {
   Done = true;
+  stopWaitingForSlot();
   NextAttemptTimer.cancel();
   removeHopByHopHeaders(Response);
   logRequest(Response.result_int(), Outcome);
--- a/src/gateway/detail/exchange_response.cpp
+++ b/src/gateway/detail/exchange_response.cpp
@@ -7,13 +7,18 @@
 using placement::send_result;
 using std::chrono::nanoseconds;
 
-/// Parses the load header of a target, "running,waiting,slots".
+/// Parses the load header of a target, "running,waiting,slots" or
+/// "running,waiting,slots,slowdown", with the slowdown in percent.
 static std::optional<placement::reported_load>
 parseLoad(const std::string &Text) {
   placement::reported_load Load;
-  if (std::sscanf(Text.c_str(), "%u,%u,%u", &Load.Running, &Load.Waiting,
-                  &Load.Slots) != 3)
+  unsigned SlowdownPercent = 0;
+  const int Count = std::sscanf(Text.c_str(), "%u,%u,%u,%u", &Load.Running,
+                                &Load.Waiting, &Load.Slots, &SlowdownPercent);
+  if (Count < 3)
     return std::nullopt;
+  if (Count == 4 && SlowdownPercent > 0)
+    Load.Slowdown = SlowdownPercent / 100.0;
   return Load;
 }
 
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -53,6 +53,19 @@
 /// Fraction of the rest of a pause over which refused callers return after it.
 static constexpr double CallerReturnSpread = 0.25;
 
+/// Returns the priority of a request; that of its team goes before that of its
+/// route.
+static unsigned priorityOf(const placement_query &Query) {
+  return Query.Team != nullptr && Query.Team->Priority ? *Query.Team->Priority
+                                                       : Query.Route->Priority;
+}
+
+/// Returns the time by which a request must start to meet its objective.
+static base::boot_time startBy(const placement_query &Query,
+                               nanoseconds TimeFromStart) {
+  return Query.ObjectiveDeadline - TimeFromStart;
+}
+
 struct placer::candidate {
   target_state *State;
   double SortKey;
@@ -308,16 +321,19 @@
     WarmProbability = FirstRankWarmProbability;
   else if (Rank == 1)
     WarmProbability = SecondRankWarmProbability;
-  Candidate.Load = Registry.expectedLoad(State, Now);
+  Candidate.Load = Registry.expectedLoad(State, Now) +
+                   static_cast<double>(
+                       Waiting.countAhead(State.Target.Id, priorityOf(Query)));
+  const double Slowness =
+      State.LatencyRatio * target_registry::expectedSlowdown(State, Now);
   const nanoseconds BaseTime = Estimate.expected(WarmProbability);
   Candidate.ProcessingTime =
-      std::chrono::duration_cast<nanoseconds>(BaseTime * State.LatencyRatio);
+      std::chrono::duration_cast<nanoseconds>(BaseTime * Slowness);
   const double Slots = std::max(1U, State.Target.Slots);
   const double QueuedPerSlot =
       std::max(0.0, Candidate.Load + 1 - Slots) / Slots;
   Candidate.Wait = std::chrono::duration_cast<nanoseconds>(
-      Estimate.expected(FirstRankWarmProbability) * State.LatencyRatio *
-      QueuedPerSlot);
+      Estimate.expected(FirstRankWarmProbability) * Slowness * QueuedPerSlot);
   Candidate.CompletionTime =
       Candidate.ProcessingTime + Candidate.Wait + roundTrip(State.Region);
   Candidate.Cost = Candidate.CompletionTime;
@@ -333,7 +349,7 @@
     return false;
   // Without samples the processing time is an assumption, which must not cause
   // a refusal.
-  if (!ProcessingTimes.hasSamples(Query.Route->Name))
+  if (!ProcessingTimes.hasSamples(Query.Route->Name, Now))
     return Now + Best.Wait <= Query.Deadline;
   if (Now + Best.CompletionTime > Query.Deadline)
     return false;
@@ -344,6 +360,15 @@
                           Now);
 }
 
+/// Returns whether a request must wait for a free slot instead of joining the
+/// queue of a target.
+bool placer::mustWait(const candidate &Best, const placement_query &Query,
+                      base::boot_time Now) const {
+  return Best.Load + 1 > Best.State->Target.Slots &&
+         Now < startBy(Query, Best.CompletionTime - Best.Wait) &&
+         Priorities.hasHigher(Query.Service->Name, priorityOf(Query), Now);
+}
+
 /// Returns the candidates of the home region, or of all regions if it has none,
 /// and after them the leaving targets of all regions.
 std::vector<placer::candidate>
@@ -403,6 +428,7 @@
 
 placement_result placer::choose(const placement_query &Query,
                                 base::boot_time Now) {
+  Priorities.record(Query.Service->Name, priorityOf(Query), Now);
   std::vector<candidate> Candidates = allCandidates(Query, Now);
   if (Candidates.empty())
     return explainNoCandidate(Query, Now);
@@ -424,6 +450,10 @@
                        std::max<nanoseconds>(Best->Wait / 2, MinRetryAfter)};
     Best = Leaving;
   }
+  if (mustWait(*Best, Query, Now))
+    return slot_wait{
+        Best->State->Target.Id,
+        {priorityOf(Query), startBy(Query, Best->CompletionTime - Best->Wait)}};
   return chosen_target{Best->State->Target.Id,
                        Best->State->Target.Address,
                        Best->Warm,
@@ -439,12 +469,15 @@
   const target_state *State = Registry.find(Chosen.Id);
   if (State == nullptr)
     return;
+  ProcessingTimes.recordAnswer(Query.Route->Name, Now);
   const nanoseconds MeasuredTime =
       std::max<nanoseconds>(Latency - roundTrip(State->Region), nanoseconds(1));
   if (Chosen.ExpectedWait == nanoseconds(0) && State->ColdUntil <= Now) {
+    // A slowdown that the target reports itself is no lasting property of it.
     Registry.recordLatencyRatio(
         Chosen.Id, ProcessingTimes.ratioToExpected(*Query.Route, Chosen.Warm,
-                                                   MeasuredTime));
+                                                   MeasuredTime) /
+                       target_registry::expectedSlowdown(*State, Now));
     ProcessingTimes.recordSample(Query.Route->Name, Chosen.Warm, MeasuredTime);
   }
   ProcessingTimes.recordHandled(Query.ObjectHash, State->Seed, Now);
--- a/src/placement/target_registry.cpp
+++ b/src/placement/target_registry.cpp
@@ -12,8 +12,19 @@
 static constexpr double LatencyRatioWeight = 0.2;
 static constexpr double FailureWeight = 0.25;
 static constexpr double AverageLoadWeight = 0.1;
+static constexpr double AverageSlowdownWeight = 0.02;
 /// Age at which a load report and the average load have equal weight.
 static constexpr std::chrono::duration<double> LoadHalfLife{0.6};
+/// Time in which the average load loses half of its weight without a new
+/// report. Otherwise a target that was full with the work of other entries
+/// would count as full for good, because no request is sent to it.
+static constexpr std::chrono::duration<double> AverageLoadHalfLife{10};
+/// Age at which the reported slowdown of a target has lost half of its weight:
+/// machines are slow for parts of a second.
+static constexpr std::chrono::duration<double> SlowdownHalfLife{0.3};
+/// Bounds of a reported slowdown, so that an odd one cannot exclude a target.
+static constexpr double MinSlowdown = 0.1;
+static constexpr double MaxSlowdown = 20;
 /// Failure rate from which a target is ejected.
 static constexpr double EjectionFailureRate = 0.4;
 /// The first ejection lasts for the minimum time; the duration doubles with
@@ -286,6 +297,14 @@
   State->LoadReportedAt = Now;
   if (Load.Slots > 0)
     State->Target.Slots = Load.Slots;
+  if (!Load.Slowdown)
+    return;
+  const double Slowdown = std::clamp(*Load.Slowdown, MinSlowdown, MaxSlowdown);
+  double &Average =
+      AverageSlowdown.emplace(State->Target.Service, 1.0).first->second;
+  Average += AverageSlowdownWeight * (Slowdown - Average);
+  State->RelativeSlowdown = Slowdown / Average;
+  State->SlowdownReportedAt = Now;
 }
 
 void target_registry::recordLatencyRatio(const base::target_id &Id,
@@ -339,12 +358,25 @@
          (!State.RemovedAt || *State.RemovedAt > Now);
 }
 
+/// Returns the weight of an estimate, which halves with each half-life.
+static double weightAtAge(std::chrono::duration<double> Age,
+                          std::chrono::duration<double> HalfLife) {
+  return std::exp2(-Age.count() / HalfLife.count());
+}
+
+double target_registry::expectedSlowdown(const target_state &State,
+                                         base::boot_time Now) {
+  return 1 + (State.RelativeSlowdown - 1) *
+                 weightAtAge(Now - State.SlowdownReportedAt, SlowdownHalfLife);
+}
+
 double target_registry::expectedLoad(const target_state &State,
                                      base::boot_time Now) const {
-  const std::chrono::duration<double> Age = Now - State.LoadReportedAt;
-  const double ReportWeight = std::exp2(-Age.count() / LoadHalfLife.count());
+  const auto Age = Now - State.LoadReportedAt;
+  const double ReportWeight = weightAtAge(Age, LoadHalfLife);
   return State.InFlight + ReportWeight * State.OtherEntriesLoad +
-         (1 - ReportWeight) * State.AverageOtherEntriesLoad;
+         (1 - ReportWeight) * weightAtAge(Age, AverageLoadHalfLife) *
+             State.AverageOtherEntriesLoad;
 }
 
 } // namespace skylarkdyke::placement
--- a/tests/unit-gateway-state.cpp
+++ b/tests/unit-gateway-state.cpp
@@ -428,6 +428,25 @@
   }
 }
 
+// Guards against shares that depend on earlier weights: a service whose weight
+// was set to 0 must get nothing, whatever the scale of the weights before.
+TEST(gateway_outcome, ChangedWeightsHoldFromTheFirstRequest) {
+  routing::route Route;
+  Route.Name = "r";
+  Route.Services = {{base::service_name("a"), 50},
+                    {base::service_name("b"), 50}};
+  gateway::detail::weighted_round_robin Selector;
+  Selector.next(Route);
+  Route.Services = {{base::service_name("a"), 1}, {base::service_name("b"), 0}};
+  for (int I = 0; I < 200; ++I)
+    LONGS_EQUAL(0, Selector.next(Route));
+  Route.Services = {{base::service_name("b"), 1}, {base::service_name("a"), 3}};
+  std::size_t RequestsToSecond = 0;
+  for (int I = 0; I < 40; ++I)
+    RequestsToSecond += Selector.next(Route);
+  LONGS_EQUAL(30, RequestsToSecond);
+}
+
 // Guards against idle connections of all entries that use up the connection
 // limit of a target, so that it resets the connections of requests.
 TEST(gateway_state, IdleConnectionsFitTheLimitOfATarget) {
--- a/tests/unit-placement-placer.cpp
+++ b/tests/unit-placement-placer.cpp
@@ -258,6 +258,60 @@
 }
 
 // Guards against targets that join but never get a request.
+// Guards against a route that is refused for good because of the processing
+// time of an earlier route of its name: only answers renew that time.
+TEST(placement_placer, ARouteThatReplacesASlowOneIsServedAgain) {
+  addTargets(2, NorthA);
+  for (int I = 0; I < 20; ++I)
+    serve(1, 1400ms);
+  Route.Timeout = 300ms;
+  Route.LatencyObjective = 200ms;
+  const auto ShortQuery = [this] {
+    auto Query = query(1);
+    Query.Deadline = Now + 300ms;
+    return Query;
+  };
+  STRCMP_EQUAL("", choose(ShortQuery()).c_str());
+  Now += 10s;
+  CHECK(!choose(ShortQuery()).empty());
+}
+
+// Guards against targets that count as full for good after they were full with
+// the work of other entries: without requests they report nothing new.
+TEST(placement_placer, TargetsThatWereFullAreTriedAgain) {
+  addTargets(2, NorthA);
+  serve(1, 100ms);
+  for (int I = 0; I < 40; ++I)
+    for (const char *Id : {"north-a0", "north-a1"})
+      Registry.recordReportedLoad(base::target_id(Id), {4, 12, 4, {}}, Now);
+  STRCMP_EQUAL("", choose(query(1)).c_str());
+  Now += 60s;
+  CHECK(!choose(query(1)).empty());
+}
+
+// Guards against requests that wait at a target on a machine that is slow for
+// a moment, and against a lasting memory of that moment.
+TEST(placement_placer, ATargetThatReportsASlowMachineGetsLessForAMoment) {
+  addTargets(2, NorthA);
+  const std::string First = serve(1, 100ms);
+  const std::string Second = First == "north-a0" ? "north-a1" : "north-a0";
+  serve(1, 100ms);
+  const auto Answer = [this](const std::string &Id) {
+    const auto Query = query(1);
+    placement::chosen_target Chosen;
+    Chosen.Id = base::target_id(Id);
+    Chosen.Warm = true;
+    Placer.recordAnswer(Query, Chosen, 100ms, Now);
+  };
+  Answer(First);
+  Answer(Second);
+  Registry.recordReportedLoad(base::target_id(First), {1, 0, 4, 2.5}, Now);
+  Registry.recordReportedLoad(base::target_id(Second), {1, 0, 4, 1.0}, Now);
+  STRCMP_EQUAL(Second.c_str(), choose(query(1)).c_str());
+  Now += 5s;
+  STRCMP_EQUAL(First.c_str(), choose(query(1)).c_str());
+}
+
 TEST(placement_placer, JoinedTargetGetsARequest) {
   addTargets(3, NorthA);
   for (std::uint64_t Object = 1; Object < 30; ++Object)
