Move few objects when targets come and go

Cause: a share that left one region for two others also moved objects between those two; a target that joined took over all of its objects at once, and a restarted one counted as warm for those of its earlier incarnation.

Moves are counted by cause. Not built as a whole and not measured on a deployment yet.

--- a/include/skylarkdyke/base/event.hpp
+++ b/include/skylarkdyke/base/event.hpp
@@ -69,6 +69,7 @@
   BlockEnded = 514,
   BlockedRequestRefused = 515,
   TargetCold = 516,
+  ObjectsMoved = 540,
 
   // 600: operators
   OperatorDenied = 600,
--- a/include/skylarkdyke/placement/placer.hpp
+++ b/include/skylarkdyke/placement/placer.hpp
@@ -4,6 +4,7 @@
 #include "skylarkdyke/admission/active_priorities.hpp"
 #include "skylarkdyke/admission/admission_controller.hpp"
 #include "skylarkdyke/admission/waiting_requests.hpp"
+#include "skylarkdyke/placement/move_counter.hpp"
 #include "skylarkdyke/placement/processing_time_model.hpp"
 #include "skylarkdyke/placement/region_shares.hpp"
 #include "skylarkdyke/placement/target_registry.hpp"
@@ -152,8 +153,12 @@
   /// \return the target, or the reason why there is none
   placement_result choose(const placement_query &Query, base::boot_time Now);
 
+  /// \return how often objects have changed their target at this entry
+  const move_counter &moves() const { return Moves; }
+
   /// \return the requests that wait at this entry for a free slot
   admission::waiting_requests &waitingRequests() { return Waiting; }
+  const admission::waiting_requests &waitingRequests() const { return Waiting; }
 
   /// \brief Returns the time until the first target that is allowed for a
   /// request accepts requests; 0 if one accepts them now or if none is known.
@@ -221,6 +226,7 @@
   cold_rate_share ColdRateShare;
   processing_time_model ProcessingTimes;
   admission::admission_controller Admission;
+  move_counter Moves;
   admission::active_priorities Priorities;
   admission::waiting_requests Waiting;
   std::unordered_map<base::service_name, std::map<base::region_name, double>>
--- a/include/skylarkdyke/placement/region_shares.hpp
+++ b/include/skylarkdyke/placement/region_shares.hpp
@@ -53,9 +53,8 @@
 
   /// \brief Maps an object to a region.
   ///
-  /// The hash range is divided by the shares: the own region comes first, then
-  /// the others in the order of their names, so that a changed share moves few
-  /// objects.
+  /// Uses weighted rendezvous hashing, so that a changed share moves only as
+  /// many objects as it must.
   /// \param Own the region of the caller
   /// \param ObjectHash uniformly distributed hash of the object
   /// \return the region; the own region before the first goal
--- a/include/skylarkdyke/placement/target_registry.hpp
+++ b/include/skylarkdyke/placement/target_registry.hpp
@@ -103,6 +103,8 @@
   /// The target was added after the initial fill of the registry, while this
   /// entry was serving.
   bool Joined = false;
+  /// Time from which a target that joined takes over objects.
+  base::boot_time TakesOverAt{};
   /// This entry has sent requests to the target.
   bool WasUsed = false;
   /// The target answered that the address belongs to another target: it gets no
@@ -208,6 +210,12 @@
   /// known to be wrong.
   bool acceptsRequests(const target_state &State, base::boot_time Now) const;
 
+  /// \brief Returns the weight by which objects are assigned to a target: its
+  /// slots. The weight of a target that joins grows to that evenly, so that its
+  /// objects move to it one after the other. Until it is no longer cold the
+  /// weight stays minimal.
+  static double placementWeight(const target_state &State, base::boot_time Now);
+
   /// \return by how much longer work takes at a target than on average of its
   /// service: what it reported last, which loses its weight within seconds
   static double expectedSlowdown(const target_state &State,
--- a/src/gateway/detail/gauges.cpp
+++ b/src/gateway/detail/gauges.cpp
@@ -37,6 +37,17 @@
   SetGauge("skylarkdyke_targets_cold",
            "Targets that tolerate only their cold rate",
            Sources.TargetRegistry.coldCount(Now));
+  for (const auto Cause :
+       {placement::move_cause::TargetGone, placement::move_cause::TargetJoined,
+        placement::move_cause::RegionShares, placement::move_cause::Load})
+    Metrics
+        .gauge("skylarkdyke_object_moves",
+               "Objects that changed their target since the start",
+               {{"cause", placement::toString(Cause)}})
+        .set(static_cast<double>(Sources.Placer.moves().count(Cause)));
+  SetGauge("skylarkdyke_slot_waiting",
+           "Requests that wait here for a free slot of a target",
+           Sources.Placer.waitingRequests().size());
   const steering_state &State = Sources.State;
   SetGauge("skylarkdyke_config_version", "Configuration in force",
            State.version());
--- a/src/gateway/detail/gauges.hpp
+++ b/src/gateway/detail/gauges.hpp
@@ -4,13 +4,14 @@
 #include "gateway/detail/steering_state.hpp"
 #include "skylarkdyke/gateway/change_source.hpp"
 #include "skylarkdyke/metrics/registry.hpp"
-#include "skylarkdyke/placement/target_registry.hpp"
+#include "skylarkdyke/placement/placer.hpp"
 
 namespace skylarkdyke::gateway::detail {
 
 /// \brief Sources of the gauge values of an entry.
 struct gauge_sources {
   const placement::target_registry &TargetRegistry;
+  const placement::placer &Placer;
   const steering_state &State;
   store_call_counts StoreCalls;
   /// Number of live entries, this one included.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -43,6 +43,8 @@
 /// Maximum number of connections to each of the readiness, directory and
 /// metrics servers.
 static constexpr std::size_t MaxControlConnections = 400;
+/// Period in which the entry logs how many objects have changed their target.
+static constexpr milliseconds MovesLogPeriod{10000};
 /// Period in which a stopping entry checks whether all responses were sent.
 static constexpr milliseconds StopCheckPeriod{50};
 /// Time after the start during which the demand of the other entries may be
@@ -70,6 +72,7 @@
   void stop(base::boot_time RequestedAt);
   void tick();
   void updateShares(base::boot_time Now);
+  void logMoves(base::boot_time Now);
   bool shouldWatchStore(base::boot_time Now) const;
   std::vector<detail::cold_watch::checker>
   liveCheckers(base::boot_time Now) const;
@@ -112,6 +115,8 @@
   bool ReadyLogged = false;
   detail::loop_lateness Lateness;
   base::boot_time NextTickAt{};
+  base::boot_time NextMovesLogAt{};
+  std::uint64_t LoggedMoves = 0;
   /// After a pause of the process, time until which the heartbeats that the
   /// others have sent meanwhile may not have been read.
   base::boot_time HeartbeatsMissedUntil{};
@@ -332,12 +337,30 @@
   Crashes.tick(Members.isRelay(), Now);
   ColdWatch.tick(liveCheckers(Now), Now);
   updateShares(Now);
+  logMoves(Now);
   Log.flush();
   NextTickAt = base::boot_clock::now() +
                (isReady() || Stopping ? TickPeriod : StartTickPeriod);
   Timer.set(NextTickAt, [this] { tick(); });
 }
 
+void gateway::impl::logMoves(base::boot_time Now) {
+  const placement::move_counter &Moves = Placer.moves();
+  if (Now < NextMovesLogAt || Moves.total() == LoggedMoves)
+    return;
+  NextMovesLogAt = Now + MovesLogPeriod;
+  LoggedMoves = Moves.total();
+  const auto Count = [&Moves](placement::move_cause Cause) {
+    return static_cast<std::int64_t>(Moves.count(Cause));
+  };
+  SKYLARKDYKE_DECISION(
+      Log, ObjectsMoved, Now,
+      {{"target_gone", Count(placement::move_cause::TargetGone)},
+       {"target_joined", Count(placement::move_cause::TargetJoined)},
+       {"region_shares", Count(placement::move_cause::RegionShares)},
+       {"load", Count(placement::move_cause::Load)}});
+}
+
 /// Returns the other entries that may check targets.
 std::vector<detail::cold_watch::checker>
 gateway::impl::liveCheckers(base::boot_time Now) const {
@@ -384,7 +407,7 @@
   const auto Now = base::boot_clock::now();
   detail::updateGauges(
       Metrics,
-      {TargetRegistry, State, Source.callCounts(),
+      {TargetRegistry, Placer, State, Source.callCounts(),
        static_cast<unsigned>(Members.liveMembers(Now).size() + 1)},
       Now);
   Request->answer(net::makeResponse(200, Metrics.render()));
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -1,5 +1,7 @@
 #include "skylarkdyke/placement/placer.hpp"
 
+#include "skylarkdyke/placement/rendezvous.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <xxhash.h>
@@ -60,6 +62,13 @@
                                                        : Query.Route->Priority;
 }
 
+/// Returns a hash that differs between the incarnations of a target: one that
+/// has started again is warm for no object.
+static std::uint64_t incarnationSeed(const target_state &State) {
+  return XXH3_64bits_withSeed(&State.Target.StartedAtMs,
+                              sizeof(State.Target.StartedAtMs), State.Seed);
+}
+
 /// Returns the time by which a request must start to meet its objective.
 static base::boot_time startBy(const placement_query &Query,
                                nanoseconds TimeFromStart) {
@@ -110,7 +119,7 @@
 }
 
 placer::placer(target_registry &Registry, base::region_name OwnRegion)
-    : Registry(Registry), OwnRegion(std::move(OwnRegion)) {}
+    : Registry(Registry), OwnRegion(std::move(OwnRegion)), Moves(Registry) {}
 placer::~placer() = default;
 
 void placer::setDemand(const base::service_name &Service,
@@ -294,12 +303,9 @@
         std::find(Query.TriedTargets.begin(), Query.TriedTargets.end(),
                   State->Target.Id) != Query.TriedTargets.end())
       continue;
-    const std::uint64_t Hash = XXH3_64bits_withSeed(
-        &Query.ObjectHash, sizeof(std::uint64_t), State->Seed);
-    const double HashFraction =
-        (static_cast<double>(Hash >> 11U) + 1) * std::ldexp(1.0, -53);
     Candidates.push_back(
-        {State, -std::log(HashFraction) / std::max(1U, State->Target.Slots)});
+        {State, rendezvousKey(Query.ObjectHash, State->Seed,
+                              target_registry::placementWeight(*State, Now))});
   }
   std::sort(Candidates.begin(), Candidates.end(),
             [](const candidate &Left, const candidate &Right) {
@@ -313,7 +319,8 @@
                    const processing_time_estimate &Estimate,
                    base::boot_time Now) const {
   const target_state &State = *Candidate.State;
-  Candidate.Warm = ProcessingTimes.isWarm(Query.ObjectHash, State.Seed, Now);
+  Candidate.Warm =
+      ProcessingTimes.isWarm(Query.ObjectHash, incarnationSeed(State), Now);
   double WarmProbability = OtherRankWarmProbability;
   if (Candidate.Warm)
     WarmProbability = 1;
@@ -454,6 +461,8 @@
     return slot_wait{
         Best->State->Target.Id,
         {priorityOf(Query), startBy(Query, Best->CompletionTime - Best->Wait)}};
+  if (Query.TriedTargets.empty())
+    Moves.record(Query.ObjectHash, *Best->State, Now);
   return chosen_target{Best->State->Target.Id,
                        Best->State->Target.Address,
                        Best->Warm,
@@ -480,7 +489,7 @@
                        target_registry::expectedSlowdown(*State, Now));
     ProcessingTimes.recordSample(Query.Route->Name, Chosen.Warm, MeasuredTime);
   }
-  ProcessingTimes.recordHandled(Query.ObjectHash, State->Seed, Now);
+  ProcessingTimes.recordHandled(Query.ObjectHash, incarnationSeed(*State), Now);
 }
 
 } // namespace skylarkdyke::placement
--- a/src/placement/region_shares.cpp
+++ b/src/placement/region_shares.cpp
@@ -1,7 +1,10 @@
 #include "skylarkdyke/placement/region_shares.hpp"
 
+#include "skylarkdyke/placement/rendezvous.hpp"
+
 #include <algorithm>
-#include <cmath>
+#include <limits>
+#include <xxhash.h>
 
 namespace skylarkdyke::placement {
 
@@ -85,21 +88,18 @@
 base::region_name
 rate_limited_shares::regionOf(const base::region_name &Own,
                               std::uint64_t ObjectHash) const {
-  double Position = std::ldexp(static_cast<double>(ObjectHash >> 11U), -53);
-  const double OwnShare = shareOf(Shares, Own);
-  if (Position < OwnShare)
-    return Own;
-  Position -= OwnShare;
-  base::region_name LastRegion = Own;
+  base::region_name First = Own;
+  double LeastKey = std::numeric_limits<double>::infinity();
   for (const auto &[Region, Share] : Shares) {
-    if (Region == Own || Share <= 0)
-      continue;
-    LastRegion = Region;
-    if (Position < Share)
-      break;
-    Position -= Share;
+    const double Key = rendezvousKey(
+        ObjectHash, XXH3_64bits(Region.str().data(), Region.str().size()),
+        Share);
+    if (Key < LeastKey) {
+      LeastKey = Key;
+      First = Region;
+    }
   }
-  return LastRegion;
+  return First;
 }
 
 } // namespace skylarkdyke::placement
--- a/src/placement/target_registry.cpp
+++ b/src/placement/target_registry.cpp
@@ -34,6 +34,12 @@
 /// Targets that are added within this time after the first one belong to the
 /// initial fill; later ones count as joined.
 static constexpr milliseconds InitialFillTime{10000};
+/// Time in which a target that joins takes over its objects. It is as long as
+/// a few requests of ordinary length, so that the first requests for different
+/// objects, which take longest, do not all come at once.
+static constexpr std::chrono::duration<double> TakeOverTime{6};
+/// Least fraction of its weight that a target has while it joins.
+static constexpr double MinTakeOver = 0.01;
 /// Bounds of a sample of the latency ratio, so that one outlier cannot exclude
 /// a target.
 static constexpr double MinLatencyRatio = 0.3;
@@ -77,6 +83,8 @@
   updateUsableUntil(*State);
   if (Target.RemainingColdTime > milliseconds(0))
     markCold(*State, Now + Target.RemainingColdTime, Now);
+  if (IsNewIncarnation)
+    State->TakesOverAt = std::max(Now, State->ColdUntil);
   if (!IsIndexed)
     addToIndex(*State);
   return true;
@@ -364,6 +372,15 @@
   return std::exp2(-Age.count() / HalfLife.count());
 }
 
+double target_registry::placementWeight(const target_state &State,
+                                        base::boot_time Now) {
+  const double Slots = std::max(1U, State.Target.Slots);
+  if (!State.Joined)
+    return Slots;
+  const std::chrono::duration<double> Elapsed = Now - State.TakesOverAt;
+  return Slots * std::clamp(Elapsed / TakeOverTime, MinTakeOver, 1.0);
+}
+
 double target_registry::expectedSlowdown(const target_state &State,
                                          base::boot_time Now) {
   return 1 + (State.RelativeSlowdown - 1) *
--- a/tests/unit-placement-placer.cpp
+++ b/tests/unit-placement-placer.cpp
@@ -312,6 +312,22 @@
   STRCMP_EQUAL(First.c_str(), choose(query(1)).c_str());
 }
 
+// Guards against a target that counts as warm for the objects of its earlier
+// incarnation.
+TEST(placement_placer, ARestartedTargetIsNotWarm) {
+  addTargets(1, NorthA);
+  serve(1, 100ms);
+  const auto Warm = [this] {
+    return std::get<placement::chosen_target>(Placer.choose(query(1), Now))
+        .Warm;
+  };
+  CHECK(Warm());
+  auto Restarted = makeTarget("north-a0", NorthA);
+  Restarted.StartedAtMs = 5;
+  Registry.upsert(Restarted, Now);
+  CHECK(!Warm());
+}
+
 TEST(placement_placer, JoinedTargetGetsARequest) {
   addTargets(3, NorthA);
   for (std::uint64_t Object = 1; Object < 30; ++Object)
--- a/tests/unit-placement-region-shares.cpp
+++ b/tests/unit-placement-region-shares.cpp
@@ -78,6 +78,19 @@
   CHECK(MovedObjects < 800);
 }
 
+// Guards against moves between regions whose shares only gain: objects that
+// leave a region are the only ones that move.
+TEST(placement_region_shares, OnlyObjectsOfTheShrinkingRegionMove) {
+  placement::rate_limited_shares Before;
+  placement::rate_limited_shares After;
+  Before.approach({{North, 0.2}, {South, 0.6}, {West, 0.2}}, 1, Start);
+  After.approach({{North, 0.3}, {South, 0.4}, {West, 0.3}}, 1, Start);
+  for (std::uint64_t Object = 0; Object < 10000; ++Object)
+    if (!(Before.regionOf(South, hashOf(Object)) == South))
+      CHECK(Before.regionOf(South, hashOf(Object)) ==
+            After.regionOf(South, hashOf(Object)));
+}
+
 // Guards against needless moves: when a region's share grows, objects that are
 // already there stay and keep their warm targets.
 TEST(placement_region_shares, GrowingShareKeepsItsObjects) {
