--- a/include/skylarkdyke/base/names.hpp
+++ b/include/skylarkdyke/base/names.hpp
@@ -36,7 +36,6 @@
 using domain_name = strong_name<struct domain_tag>;
 using service_name = strong_name<struct service_tag>;
 using target_id = strong_name<struct target_tag>;
-using team_name = strong_name<struct team_tag>;
 using entry_name = strong_name<struct entry_tag>;
 using operator_name = strong_name<struct operator_tag>;
 
--- a/include/skylarkdyke/routing/team.hpp
+++ b/include/skylarkdyke/routing/team.hpp
@@ -2,6 +2,7 @@
 #define SKYLARKDYKE_ROUTING_TEAM_HPP
 
 #include "skylarkdyke/base/names.hpp"
+#include "skylarkdyke/base/team_name.hpp"
 
 #include <optional>
 #include <string>
