Count as ahead only what waits ahead

Cause: a request that was woken for a free slot counted all waiting requests of its priority as ahead of it, so that the slot stayed free.

--- a/include/skylarkdyke/admission/waiting_requests.hpp
+++ b/include/skylarkdyke/admission/waiting_requests.hpp
@@ -14,19 +14,19 @@
 namespace skylarkdyke::admission {
 
 /// \brief Place of a request among those that wait for the same target: by
-/// priority, then by the latest start.
+/// priority, then by the time by which they should be answered.
 struct waiting_place {
   /// 0 is the highest priority.
   unsigned Priority = 0;
-  /// Time by which the request must start to meet its latency objective.
-  base::boot_time StartBy;
+  /// Latest completion time that meets the latency objective.
+  base::boot_time ObjectiveDeadline;
   /// Distinguishes requests that are alike otherwise; set by
   /// waiting_requests::add().
   std::uint64_t Sequence = 0;
 
   friend bool operator<(const waiting_place &Left, const waiting_place &Right) {
-    return std::tie(Left.Priority, Left.StartBy, Left.Sequence) <
-           std::tie(Right.Priority, Right.StartBy, Right.Sequence);
+    return std::tie(Left.Priority, Left.ObjectiveDeadline, Left.Sequence) <
+           std::tie(Right.Priority, Right.ObjectiveDeadline, Right.Sequence);
   }
 };
 
@@ -51,10 +51,9 @@
   /// \brief Removes a request; nothing happens if it is not waiting.
   void remove(const base::target_id &Target, const waiting_place &Place);
 
-  /// \return number of requests for a target that are ahead of a request of a
-  /// priority that comes now
+  /// \return number of requests that wait for a target ahead of a place
   std::size_t countAhead(const base::target_id &Target,
-                         unsigned Priority) const;
+                         const waiting_place &Place) const;
 
   /// \return whether requests wait for a target
   bool hasWaiting(const base::target_id &Target) const {
--- a/include/skylarkdyke/placement/placer.hpp
+++ b/include/skylarkdyke/placement/placer.hpp
@@ -81,9 +81,10 @@
 /// not let pass in the queue of the target.
 struct slot_wait {
   base::target_id Target;
-  /// Where the request waits. From its start time on it may join the queue of
-  /// a target.
   admission::waiting_place Place;
+  /// Time from which the request may join the queue of a target: it would miss
+  /// its latency objective by waiting longer.
+  base::boot_time Until;
 };
 
 /// \brief Result of the choice of a target.
--- a/src/admission/waiting_requests.cpp
+++ b/src/admission/waiting_requests.cpp
@@ -24,13 +24,12 @@
 }
 
 std::size_t waiting_requests::countAhead(const base::target_id &Target,
-                                         unsigned Priority) const {
+                                         const waiting_place &Place) const {
   const auto Found = ByTarget.find(Target);
   if (Found == ByTarget.end())
     return 0;
-  const waiting_place Last{Priority, base::boot_time::max(), NextSequence};
   return static_cast<std::size_t>(
-      std::distance(Found->second.begin(), Found->second.lower_bound(Last)));
+      std::distance(Found->second.begin(), Found->second.lower_bound(Place)));
 }
 
 void waiting_requests::wakeFirst(const base::target_id &Target) {
--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -185,7 +185,7 @@
           Exchange->selectTarget();
       });
   NextAttemptTimer.set(
-      std::min(Wait.Place.StartBy, base::boot_clock::now() + SlotCheckPeriod),
+      std::min(Wait.Until, base::boot_clock::now() + SlotCheckPeriod),
       [Self = shared_from_this()] { Self->selectTarget(); });
 }
 
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -71,10 +71,8 @@
                               sizeof(State.Target.StartedAtMs), State.Seed);
 }
 
-/// Returns the time by which a request must start to meet its objective.
-static base::boot_time startBy(const placement_query &Query,
-                               nanoseconds TimeFromStart) {
-  return Query.ObjectiveDeadline - TimeFromStart;
+static admission::waiting_place placeOf(const placement_query &Query) {
+  return {priorityOf(Query), Query.ObjectiveDeadline};
 }
 
 struct placer::candidate {
@@ -346,9 +344,9 @@
     WarmProbability = FirstRankWarmProbability;
   else if (Rank == 1)
     WarmProbability = SecondRankWarmProbability;
-  Candidate.Load = Registry.expectedLoad(State, Now) +
-                   static_cast<double>(
-                       Waiting.countAhead(State.Target.Id, priorityOf(Query)));
+  Candidate.Load =
+      Registry.expectedLoad(State, Now) +
+      static_cast<double>(Waiting.countAhead(State.Target.Id, placeOf(Query)));
   const double Slowness =
       State.LatencyRatio * target_registry::expectedSlowdown(State, Now);
   const nanoseconds BaseTime = Estimate.expected(WarmProbability);
@@ -390,7 +388,7 @@
 bool placer::mustWait(const candidate &Best, const placement_query &Query,
                       base::boot_time Now) const {
   return Best.Load + 1 > Best.State->Target.Slots &&
-         Now < startBy(Query, Best.CompletionTime - Best.Wait) &&
+         Now < Query.ObjectiveDeadline - (Best.CompletionTime - Best.Wait) &&
          Priorities.hasHigher(Query.Service->Name, priorityOf(Query), Now);
 }
 
@@ -476,9 +474,9 @@
     Best = Leaving;
   }
   if (mustWait(*Best, Query, Now))
-    return slot_wait{
-        Best->State->Target.Id,
-        {priorityOf(Query), startBy(Query, Best->CompletionTime - Best->Wait)}};
+    return slot_wait{Best->State->Target.Id, placeOf(Query),
+                     Query.ObjectiveDeadline -
+                         (Best->CompletionTime - Best->Wait)};
   if (Query.TriedTargets.empty())
     Moves.record(Query.ObjectHash, *Best->State, Now);
   return chosen_target{Best->State->Target.Id,
