--- a/src/routing/validation.cpp
+++ b/src/routing/validation.cpp
@@ -105,7 +105,7 @@
     if (Team.Quota && !isUsable(*Team.Quota))
       Findings.push_back({Location, "has a quota below 0"});
     for (const std::string &Key : Team.Keys) {
-      const auto Holder = TeamByKey.emplace(Key, &Team).first->second;
+      const team *Holder = TeamByKey.emplace(Key, &Team).first->second;
       if (!isHeaderValue(Key))
         Findings.push_back({Location, "has a key that a header cannot hold"});
       else if (Holder != &Team)
