Divide quotas of teams among entries by tokens from pools at the relays

A team may have a quota for all entries together, and nobody counted its requests. Pools hand out tokens of the parts that entries delegate to them; an entry asks its own pool first, then others. Not yet built or tested.

--- a/include/skylarkdyke/gateway/gateway.hpp
+++ b/include/skylarkdyke/gateway/gateway.hpp
@@ -9,6 +9,7 @@
 #include "skylarkdyke/base/result.hpp"
 #include "skylarkdyke/gateway/change_source.hpp"
 #include "skylarkdyke/net/response_memory.hpp"
+#include "skylarkdyke/quotas/token_limit.hpp"
 #include "skylarkdyke/routing/route.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -42,6 +43,7 @@
   /// Mesh addresses of some other entries; they may be out of date.
   std::vector<base::endpoint> Seeds;
   admission::retry_bound RetryBound;
+  quotas::quota_bound QuotaBound;
   /// Maximum time for which callers may cache a directory response.
   std::chrono::milliseconds MaxDirectoryTtl{5000};
   /// Time from the stop signal until the platform kills the process.
--- a/include/skylarkdyke/membership/member_table.hpp
+++ b/include/skylarkdyke/membership/member_table.hpp
@@ -109,6 +109,15 @@
   /// \param Own status of this entry
   void updateRelays(const entry_status &Own, base::boot_time Now);
 
+  /// \return relays of a region, as far as they are known
+  std::vector<base::endpoint> relaysOf(const base::region_name &Region) const;
+  /// \return failure domain of an entry; that of this one is not known
+  const base::domain_name *domainOf(const base::endpoint &Mesh) const;
+  /// \return whether this entry knows of others, but has heard none yet
+  bool hasHeardNone(base::boot_time Now) const {
+    return Members.empty() && hasUnheardContact(Now);
+  }
+
   /// \return whether this entry is a relay of its region
   bool isRelay() const { return LocalRelays.count(OwnMesh) != 0; }
   /// \return whether the own region has entries that only the relays hear
@@ -234,6 +243,8 @@
   /// All entries of the own region send heartbeats to each other.
   bool FullMesh = true;
   std::set<base::endpoint> LocalRelays;
+  /// Relays of the other regions, small ones included.
+  std::map<base::region_name, std::set<base::endpoint>> RemoteRelays;
   /// Entries of other regions to which this region reports.
   std::set<base::endpoint> RemoteReceivers;
   /// Number of addresses that were sent in samples.
--- a/include/skylarkdyke/membership/messages.hpp
+++ b/include/skylarkdyke/membership/messages.hpp
@@ -3,6 +3,7 @@
 
 #include "skylarkdyke/base/endpoint.hpp"
 #include "skylarkdyke/base/names.hpp"
+#include "skylarkdyke/quotas/messages.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -116,12 +117,16 @@
   std::string Changes;
 };
 
-using mesh_message = std::variant<entry_status, digest, state_update>;
+using mesh_message =
+    std::variant<entry_status, digest, state_update, quotas::token_request,
+                 quotas::token_grant>;
 
 /// \brief Encodes a message as CBOR.
 std::string encode(const entry_status &Status);
 std::string encode(const digest &Digest);
 std::string encode(const state_update &Update);
+std::string encode(const quotas::token_request &Request);
+std::string encode(const quotas::token_grant &Grant);
 
 /// \brief Decodes a message.
 /// \return the message, or nothing if the bytes are not a message of the
--- a/include/skylarkdyke/routing/route_table.hpp
+++ b/include/skylarkdyke/routing/route_table.hpp
@@ -37,6 +37,9 @@
   const std::vector<service> &services() const {
     return Configuration.Services;
   }
+  const std::optional<std::vector<team>> &teams() const {
+    return Configuration.Teams;
+  }
 
 private:
   configuration Configuration;
--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -48,7 +48,7 @@
     if (const auto Exchange = Weak.lock())
       Exchange->onCallerDisconnected();
   });
-  Self->selectTarget();
+  Self->acquireQuota();
 }
 
 exchange::exchange(steering_context &Context,
@@ -121,6 +121,34 @@
     Query.Deadline = std::min(Query.Deadline, Context.Stop->RespondBy);
 }
 
+/// Counts the request in the quota of its team, if that has one, and places it.
+void exchange::acquireQuota() {
+  if (Query.Team == nullptr || !Query.Team->Quota)
+    return selectTarget();
+  Context.Quotas.acquire(
+      *Query.Team,
+      [Self = shared_from_this()](const quota_service::result &Result) {
+        Self->onQuotaResult(Result);
+      });
+}
+
+void exchange::onQuotaResult(const quota_service::result &Result) {
+  if (const auto *Token = std::get_if<quotas::token>(&Result))
+    QuotaToken = *Token;
+  if (Done)
+    return giveBackQuota();
+  if (QuotaToken)
+    return selectTarget();
+  respondWithError(429, "quota_exceeded",
+                   std::get<quotas::denial>(Result).RetryAfter);
+}
+
+void exchange::giveBackQuota() {
+  if (QuotaToken)
+    Context.Quotas.giveBack(*QuotaToken);
+  QuotaToken.reset();
+}
+
 void exchange::selectTarget() {
   // A late event loop may not have told yet.
   if (Caller->hasCallerDisconnected())
@@ -429,6 +457,9 @@
   if (!RequestId.empty())
     Response.set(Context.Headers.RequestId, RequestId);
   LastFailureReason = Reason;
+  // This status says that the request has not run.
+  if (Status == 503)
+    giveBackQuota();
   respond(std::move(Response), Reason.c_str());
 }
 
--- a/src/gateway/detail/exchange.hpp
+++ b/src/gateway/detail/exchange.hpp
@@ -4,6 +4,7 @@
 #include "gateway/detail/channel_pool.hpp"
 #include "gateway/detail/crash_guard.hpp"
 #include "gateway/detail/demand_meter.hpp"
+#include "gateway/detail/quota_service.hpp"
 #include "gateway/detail/response_relay.hpp"
 #include "gateway/detail/send_outcome.hpp"
 #include "gateway/detail/steering_state.hpp"
@@ -40,6 +41,7 @@
   metrics::registry &Metrics;
   telemetry::decision_log &Log;
   crash_guard &Crashes;
+  quota_service &Quotas;
   weighted_round_robin ServiceSelector;
   demand_meter Demand;
   /// Number of entries that divide the connection limits of targets, this one
@@ -88,6 +90,9 @@
 
   bool resolveRoute();
   void readDeadline();
+  void acquireQuota();
+  void onQuotaResult(const quota_service::result &Result);
+  void giveBackQuota();
   void selectTarget();
   void onNoTarget(const placement::no_target &NoTargetResult);
   void send(const placement::chosen_target &Chosen);
@@ -138,6 +143,8 @@
   placement::placement_query Query;
   /// Computed when it is first needed, because it takes the whole body.
   std::optional<poison::request_identity> Identity;
+  /// Counts the request in the quota of its team.
+  std::optional<quotas::token> QuotaToken;
   /// Delays an attempt while the rate limit of cold targets is reached; while
   /// an attempt runs, triggers the hedged attempt.
   net::one_shot_timer NextAttemptTimer;
--- a/src/gateway/detail/mesh_link.cpp
+++ b/src/gateway/detail/mesh_link.cpp
@@ -119,6 +119,12 @@
                  [this](const membership::digest &Digest) { onDigest(Digest); },
                  [this](const membership::state_update &Update) {
                    onStateUpdate(Update);
+                 },
+                 [this](const quotas::token_request &Request) {
+                   OnTokenRequest(Request);
+                 },
+                 [this](const quotas::token_grant &Grant) {
+                   OnTokenGrant(Grant);
                  }},
              *Message);
 }
--- a/src/gateway/detail/mesh_link.hpp
+++ b/src/gateway/detail/mesh_link.hpp
@@ -26,6 +26,11 @@
   /// Called after another entry has become reachable or its state has been
   /// adopted.
   using update_callback = std::function<void()>;
+  /// Handle the messages on the quotas of teams.
+  using token_request_handler =
+      std::function<void(const quotas::token_request &Request)>;
+  using token_grant_handler =
+      std::function<void(const quotas::token_grant &Grant)>;
 
   mesh_link(boost::asio::io_context &Loop, net::response_memory &Memory,
             steering_state &State, membership::member_table &Members,
@@ -44,6 +49,15 @@
   /// \param Delay time between two watch calls of this entry to the store
   void setWatchDelay(std::chrono::milliseconds Delay) { WatchDelay = Delay; }
 
+  void setTokenHandlers(token_request_handler OnRequest,
+                        token_grant_handler OnGrant) {
+    OnTokenRequest = std::move(OnRequest);
+    OnTokenGrant = std::move(OnGrant);
+  }
+
+  /// \brief Sends an encoded message to another entry.
+  void send(const base::endpoint &To, const std::string &Bytes);
+
   /// \brief Tells other entries of requests that crash targets.
   /// \param PassedOn another entry has told this one; only relays of large
   /// regions pass it on
@@ -67,7 +81,6 @@
   void onDigest(const membership::digest &Digest);
   void onStateUpdate(const membership::state_update &Update);
   void introduceTo(const membership::entry_status &Status, base::boot_time Now);
-  void send(const base::endpoint &To, const std::string &Bytes);
   void sendHeartbeats(base::boot_time Now);
   void sendDigests(base::boot_time Now);
   void publishChanges(base::boot_time Now);
@@ -94,6 +107,8 @@
   double SnapshotBytesPerSecond;
   status_source OwnStatus;
   update_callback OnUpdate;
+  token_request_handler OnTokenRequest = [](const quotas::token_request &) {};
+  token_grant_handler OnTokenGrant = [](const quotas::token_grant &) {};
   boost::asio::ip::udp::socket Socket;
   boost::asio::ip::udp::endpoint Sender;
   std::array<char, 65536> Datagram{};
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 #include "gateway/detail/gauges.hpp"
 #include "gateway/detail/loop_lateness.hpp"
 #include "gateway/detail/mesh_link.hpp"
+#include "gateway/detail/quota_service.hpp"
 #include "gateway/detail/request_rejection.hpp"
 #include "gateway/detail/steering_state.hpp"
 #include "gateway/detail/watch_delay.hpp"
@@ -94,9 +95,10 @@
   detail::steering_state State;
   detail::channel_pool Pool;
   detail::crash_guard Crashes;
+  membership::member_table Members;
+  detail::quota_service Quotas;
   detail::steering_context Context;
   detail::demand_history History;
-  membership::member_table Members;
   detail::directory_service Directory;
   detail::mesh_link Mesh;
   detail::cold_watch ColdWatch;
@@ -137,15 +139,20 @@
       State(TargetRegistry, std::move(Decoder), Settings.RecordRecoveryTime,
             [] { return base::boot_clock::now(); }),
       Pool(Loop, Memory), Crashes(Loop, Metrics, Log, Incarnation),
+      Members(Settings.Mesh, Settings.Region, Settings.RegionOf),
+      Quotas(Loop, Members, Metrics,
+             {Settings.Mesh, Settings.Domain, Settings.Region,
+              Settings.RegionOf, Settings.QuotaBound},
+             static_cast<std::uint32_t>(Incarnation)),
       Context{Loop,    Protocol.Headers,
               State,   TargetRegistry,
               Placer,  Pool,
               Retries, Metrics,
               Log,     Crashes,
-              {},      {},
-              1,       std::numeric_limits<unsigned>::max(),
+              Quotas,  {},
+              {},      1,
+              std::numeric_limits<unsigned>::max(),
               {}},
-      Members(Settings.Mesh, Settings.Region, Settings.RegionOf),
       Directory(Settings, Protocol, State, TargetRegistry, Placer, History,
                 Members, [this] { return ownStatus(); }),
       Mesh(
@@ -205,6 +212,15 @@
          Source.storeBlock(Block);
        },
        [this](std::uint64_t Fingerprint) { Source.removeBlock(Fingerprint); }});
+  Quotas.setSender(
+      [this](const base::endpoint &To, const std::string &Message) {
+        Mesh.send(To, Message);
+      });
+  Mesh.setTokenHandlers(
+      [this](const quotas::token_request &Request) {
+        Quotas.onRequest(Request);
+      },
+      [this](const quotas::token_grant &Grant) { Quotas.onGrant(Grant); });
   for (const base::endpoint &Seed : Settings.Seeds)
     Members.addAddress(Seed, Now);
   if (!Mesh.start() || !FrontServer.listen(Settings.Front))
@@ -332,6 +348,7 @@
   Crashes.tick(Members.isRelay(), Now);
   ColdWatch.tick(liveCheckers(Now), Now);
   updateShares(Now);
+  Quotas.tick(State.routes(), Now);
   Log.flush();
   NextTickAt = base::boot_clock::now() +
                (isReady() || Stopping ? TickPeriod : StartTickPeriod);
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -142,13 +142,17 @@
     It = Now > reservedUntil(Member) ? Members.erase(It) : std::next(It);
   }
   RemoteReceivers.clear();
+  RemoteRelays.clear();
   for (const auto &[Region, Entries] : ByRegion) {
     const bool IsSmall = Entries.size() <= MaxFullMeshSize;
     auto Relays = selectRelays(Region == OwnRegion ? LocalCandidates : Entries);
     if (Region == OwnRegion) {
       FullMesh = IsSmall;
       LocalRelays = std::move(Relays);
-    } else if (IsSmall) {
+      continue;
+    }
+    RemoteRelays[Region] = Relays;
+    if (IsSmall) {
       for (const entry_status *Entry : Entries)
         RemoteReceivers.insert(Entry->MeshAddress);
     } else {
@@ -161,6 +165,22 @@
                                                          : std::next(It);
 }
 
+std::vector<base::endpoint>
+member_table::relaysOf(const base::region_name &Region) const {
+  if (Region == OwnRegion)
+    return {LocalRelays.begin(), LocalRelays.end()};
+  const auto Found = RemoteRelays.find(Region);
+  if (Found == RemoteRelays.end())
+    return {};
+  return {Found->second.begin(), Found->second.end()};
+}
+
+const base::domain_name *
+member_table::domainOf(const base::endpoint &Mesh) const {
+  const auto Found = Members.find(Mesh);
+  return Found == Members.end() ? nullptr : &Found->second.Status.Domain;
+}
+
 /// Returns the interval between heartbeats to the contacts of a group. It grows
 /// with the group, up to the maximum, so that the number of messages that an
 /// entry sends grows more slowly than the fleet.
--- a/src/membership/messages.cpp
+++ b/src/membership/messages.cpp
@@ -16,6 +16,8 @@
 static constexpr int HeartbeatKind = 0;
 static constexpr int DigestKind = 1;
 static constexpr int StateUpdateKind = 2;
+static constexpr int TokenRequestKind = 3;
+static constexpr int TokenGrantKind = 4;
 /// Longest interval between heartbeats that a sender may announce.
 static constexpr milliseconds MaxAnnouncedPeriod{10000};
 /// Longest age of a state that a sender may report, so that no sum with a time
@@ -208,6 +210,62 @@
                  Update.Changes});
 }
 
+/// Unit of the amounts of tokens in messages.
+static constexpr double AmountsPerToken = 1000;
+/// Greatest amount of tokens that is accepted.
+static constexpr std::uint64_t MaxAmount = 1000000000;
+
+/// Encodes teams and amounts in turn, without a row for each team.
+static json amountsToJson(const quotas::token_amounts &Amounts) {
+  json Fields = json::array();
+  for (const auto &[Team, Amount] : Amounts) {
+    if (Fields.size() >= 2 * quotas::MaxTeamsPerMessage)
+      break;
+    Fields.push_back(Team);
+    Fields.push_back(static_cast<std::uint64_t>(
+        std::clamp(Amount, 0.0, MaxAmount / AmountsPerToken) *
+        AmountsPerToken));
+  }
+  return Fields;
+}
+
+static quotas::token_amounts amountsFromJson(const json &Fields) {
+  quotas::token_amounts Amounts;
+  const std::size_t Size =
+      std::min(Fields.size(), 2 * quotas::MaxTeamsPerMessage);
+  for (std::size_t I = 0; I + 1 < Size; I += 2)
+    Amounts[Fields.at(I).get<quotas::team_key>()] =
+        static_cast<double>(
+            std::min(Fields.at(I + 1).get<std::uint64_t>(), MaxAmount)) /
+        AmountsPerToken;
+  return Amounts;
+}
+
+std::string encode(const quotas::token_request &Request) {
+  return toCbor({MessageVersion, TokenRequestKind,
+                 base::toString(Request.From), Request.Sequence,
+                 static_cast<int>(Request.Delegation),
+                 amountsToJson(Request.Wanted)});
+}
+
+std::string encode(const quotas::token_grant &Grant) {
+  return toCbor({MessageVersion, TokenGrantKind, Grant.Sequence,
+                 amountsToJson(Grant.Granted)});
+}
+
+static std::optional<mesh_message> tokenRequestFromJson(const json &Message) {
+  const int Delegation = Message.at(4);
+  const auto LastChange = static_cast<int>(quotas::delegation_change::Withdraw);
+  quotas::token_request Request;
+  Request.From = toEndpoint(Message.at(2));
+  Request.Sequence = Message.at(3);
+  if (Request.From.Port == 0 || Delegation < 0 || Delegation > LastChange)
+    return std::nullopt;
+  Request.Delegation = static_cast<quotas::delegation_change>(Delegation);
+  Request.Wanted = amountsFromJson(Message.at(5));
+  return Request;
+}
+
 static std::optional<mesh_message> fromJson(const json &Message) {
   if (!Message.is_array() || Message.size() < 3 || Message[0] != MessageVersion)
     return std::nullopt;
@@ -226,6 +284,10 @@
   }
   case StateUpdateKind:
     return state_update{toEndpoint(Message[2]), Message.at(3)};
+  case TokenRequestKind:
+    return tokenRequestFromJson(Message);
+  case TokenGrantKind:
+    return quotas::token_grant{Message.at(2), amountsFromJson(Message.at(3))};
   default:
     return std::nullopt;
   }
