--- a/tests/unit-platform-wire.cpp
+++ b/tests/unit-platform-wire.cpp
@@ -169,11 +169,16 @@
 retry_budget_ratio = 0.2
 grace_s = 6
 drain_s = 3.5
+quota_window_s = 4
+quota_slack = 30
 )",
                                                     "node.toml");
   CHECK(Settings.has_value());
   CHECK(Settings.value().Gateway.StopGrace == 6s);
   CHECK(Settings.value().Gateway.DrainTime == 3500ms);
+  CHECK(Settings.value().Gateway.QuotaBound.Window == 4s);
+  DOUBLES_EQUAL(0.1, Settings.value().Gateway.QuotaBound.Overage, 1e-9);
+  DOUBLES_EQUAL(30, Settings.value().Gateway.QuotaBound.Slack, 1e-9);
   DOUBLES_EQUAL(0.2, Settings.value().Gateway.ProcessorCores, 1e-9);
   LONGS_EQUAL(160000000, Settings.value().Gateway.MemoryBytes);
   LONGS_EQUAL(7620, Settings.value().Gateway.Metrics->Port);
