Give each region one preferred pool

With one pool in each failure domain a small team had 14.5% of its requests refused below its quota (10 entries, fakes): each pool had hardly more than one token.

--- a/include/skylarkdyke/membership/member_table.hpp
+++ b/include/skylarkdyke/membership/member_table.hpp
@@ -111,8 +111,6 @@
 
   /// \return relays of a region, as far as they are known
   std::vector<base::endpoint> relaysOf(const base::region_name &Region) const;
-  /// \return failure domain of an entry; that of this one is not known
-  const base::domain_name *domainOf(const base::endpoint &Mesh) const;
   /// \return whether this entry knows of others, but has heard none yet
   bool hasHeardNone(base::boot_time Now) const {
     return Members.empty() && hasUnheardContact(Now);
--- a/src/gateway/detail/quota_service.cpp
+++ b/src/gateway/detail/quota_service.cpp
@@ -3,7 +3,6 @@
 #include "skylarkdyke/base/overloaded.hpp"
 #include "skylarkdyke/membership/messages.hpp"
 
-#include <algorithm>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -68,18 +67,12 @@
   return Regions;
 }
 
-/// The relay of the own failure domain comes first, because its messages cross
-/// no border of domains.
+/// All entries of a region prefer the same relay: in one pool the few tokens of
+/// a small team make up whole ones.
 quotas::pool_view quota_service::poolView(base::boot_time Now) const {
   quotas::pool_view View;
   View.MayDelegate = !Members.hasHeardNone(Now);
   View.Local = Members.relaysOf(Settings.Region);
-  std::stable_partition(
-      View.Local.begin(), View.Local.end(), [&](const base::endpoint &Relay) {
-        const base::domain_name *Domain = Members.domainOf(Relay);
-        return Relay == Settings.Mesh ||
-               (Domain != nullptr && *Domain == Settings.Domain);
-      });
   for (const base::region_name &Region : regions())
     if (Region != Settings.Region)
       View.Remote.push_back(Members.relaysOf(Region));
@@ -129,7 +122,7 @@
 bool quota_service::sendOutgoing() {
   const auto Outgoing = Client.takeOutgoing();
   for (const quotas::outgoing_request &Request : Outgoing) {
-    if (Request.To != Settings.Mesh) {
+    if (!(Request.To == Settings.Mesh)) {
       Send(Request.To, membership::encode(Request.Request));
       continue;
     }
--- a/src/gateway/detail/quota_service.hpp
+++ b/src/gateway/detail/quota_service.hpp
@@ -22,7 +22,6 @@
 /// \brief Where an entry is, and by how much quotas may be exceeded.
 struct quota_settings {
   base::endpoint Mesh;
-  base::domain_name Domain;
   base::region_name Region;
   /// Region of each failure domain.
   std::map<base::domain_name, base::region_name> RegionOf;
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -175,12 +175,6 @@
   return {Found->second.begin(), Found->second.end()};
 }
 
-const base::domain_name *
-member_table::domainOf(const base::endpoint &Mesh) const {
-  const auto Found = Members.find(Mesh);
-  return Found == Members.end() ? nullptr : &Found->second.Status.Domain;
-}
-
 /// Returns the interval between heartbeats to the contacts of a group. It grows
 /// with the group, up to the maximum, so that the number of messages that an
 /// entry sends grows more slowly than the fleet.
--- a/tests/support/quota_fleet.cpp
+++ b/tests/support/quota_fleet.cpp
@@ -139,11 +139,6 @@
     else
       View.Local = Relays;
   }
-  std::stable_partition(View.Local.begin(), View.Local.end(),
-                        [&](const base::endpoint &Relay) {
-                          return Entries[IndexOf.at(Relay)].Own.Domain ==
-                                 Entries[Index].Own.Domain;
-                        });
   Node.Client->tick(View, Time);
   process(Index, Time);
 }
