Prefer one pool a region for good, and ask for no more than is needed

An entry that starts takes itself for the relay, and its part stayed there: 7 pools among 10 entries. Tokens that are asked for in advance expire while a team is over its quota.

--- a/include/skylarkdyke/quotas/token_client.hpp
+++ b/include/skylarkdyke/quotas/token_client.hpp
@@ -38,9 +38,10 @@
 
 /// \brief The pools that an entry may ask.
 struct pool_view {
-  /// Pools of the own region. The first one is preferred for the delegation.
+  /// Entries of the own region with a pool. All entries of the region prefer
+  /// the first one.
   std::vector<base::endpoint> Local{};
-  /// Pools of each other region, which are asked last.
+  /// The same for each other region; these are asked last.
   std::vector<std::vector<base::endpoint>> Remote{};
   /// False while this entry may not know the others of its region yet.
   bool MayDelegate = true;
@@ -56,8 +57,7 @@
 ///
 /// Teams with many requests have tokens in hand for the next moments. For the
 /// others a pool is asked when a request arrives: first the one to which this
-/// entry delegates its own part, then others of its region, then those of other
-/// regions. A team for which none had a token is denied for a moment without
+/// entry delegates its own part, then those of other regions. A team for which none had a token is denied for a moment without
 /// asking.
 ///
 /// Reads no clock and sends nothing itself: takeOutgoing() returns what to
@@ -127,10 +127,11 @@
   std::optional<token> take(team_key Team, base::boot_time Now);
   denial deny(team_state &Team, base::boot_time Now);
   void askFor(team_key Team, base::boot_time Now);
-  std::vector<base::endpoint> poolsToAsk();
+  std::vector<base::endpoint> poolsToAsk() const;
   void startSearch(token_amounts Wanted, base::boot_time Now);
   bool askNextPool(pool_search &Search, base::boot_time Now);
   void endSearch(const pool_search &Search, base::boot_time Now);
+  bool isPreferenceStable(base::boot_time Now);
   void updateDelegation(base::boot_time Now);
   bool isLocal(const base::endpoint &Pool) const;
   token_request makeRequest(delegation_change Delegation);
@@ -143,6 +144,8 @@
   /// When tokens expire that a pool hands out, by the sequence of the request.
   std::map<std::uint32_t, base::boot_time> ExpiryOfRequests;
   std::vector<outgoing_request> Outgoing;
+  std::optional<base::endpoint> Preferred;
+  base::boot_time PreferredSince{};
   std::optional<base::endpoint> DelegatedTo;
   base::boot_time DelegatedUntil{};
   base::boot_time NextRenewalAt{};
--- a/src/quotas/token_client.cpp
+++ b/src/quotas/token_client.cpp
@@ -17,6 +17,9 @@
 static constexpr milliseconds AdvanceTime{300};
 /// Interval between renewals of the delegation.
 static constexpr milliseconds RenewalPeriod{750};
+/// Time for which a pool must have been preferred before a part is delegated to
+/// it: entries that start prefer themselves until they know others.
+static constexpr milliseconds PreferenceTime{750};
 /// Time after which the next pool is asked while one is silent.
 static constexpr milliseconds LocalTimeout{80};
 static constexpr milliseconds RemoteTimeout{200};
@@ -54,8 +57,10 @@
 }
 
 /// Returns the tokens that a team with many requests needs in advance, whole
-/// ones only.
+/// ones only. A team beyond its quota gets none, because some expire unused.
 double token_client::amountInAdvance(team_state &Team, base::boot_time Now) {
+  if (Team.Denied.count(Now) > 0)
+    return 0;
   const double Rate = static_cast<double>(Team.Demand.count(Now)) /
                       seconds(DemandTime).count();
   const double Needed =
@@ -149,23 +154,19 @@
 }
 
 /// Returns the pools to ask in turn: that to which this entry delegates its
-/// part, one other of its region, and one of each other region. The latter vary
-/// with each request.
-std::vector<base::endpoint> token_client::poolsToAsk() {
+/// part, the preferred one of its region, and that of each other region. The
+/// order of the latter varies, so that none has to serve all.
+std::vector<base::endpoint> token_client::poolsToAsk() const {
   std::vector<base::endpoint> Pools;
   if (DelegatedTo && isLocal(*DelegatedTo))
     Pools.push_back(*DelegatedTo);
-  const std::size_t Count = View.Local.size();
-  for (std::size_t I = 0; I < Count && Pools.size() < 2; ++I) {
-    const base::endpoint &Pool =
-        View.Local[Pools.empty() ? I : (Sequence + I) % Count];
-    if (std::find(Pools.begin(), Pools.end(), Pool) == Pools.end())
-      Pools.push_back(Pool);
-  }
+  if (!View.Local.empty() &&
+      (Pools.empty() || !(Pools.front() == View.Local.front())))
+    Pools.push_back(View.Local.front());
   for (std::size_t I = 0; I < View.Remote.size(); ++I) {
     const auto &Region = View.Remote[(Sequence + I) % View.Remote.size()];
     if (!Region.empty())
-      Pools.push_back(Region[Sequence % Region.size()]);
+      Pools.push_back(Region.front());
   }
   return Pools;
 }
@@ -265,12 +266,24 @@
   return Next;
 }
 
+/// \return whether the region has had the same preferred pool for a while
+bool token_client::isPreferenceStable(base::boot_time Now) {
+  if (!Preferred || !(*Preferred == View.Local.front())) {
+    Preferred = View.Local.front();
+    PreferredSince = Now;
+  }
+  return Now - PreferredSince >= PreferenceTime;
+}
+
 /// A part is delegated to another pool only once the former one has confirmed
 /// that it does not use it any more, or its lease is over.
 void token_client::updateDelegation(base::boot_time Now) {
   if (!View.MayDelegate || View.Local.empty())
     return;
-  if (DelegatedTo && !isLocal(*DelegatedTo)) {
+  const bool IsStable = isPreferenceStable(Now);
+  const bool Moves = DelegatedTo && !(*DelegatedTo == *Preferred) &&
+                     (IsStable || !isLocal(*DelegatedTo));
+  if (Moves) {
     if (Now < DelegatedUntil) {
       token_request Request = makeRequest(delegation_change::Withdraw);
       Withdrawals.insert(Request.Sequence);
@@ -281,10 +294,10 @@
     NextRenewalAt = Now;
   }
   Withdrawals.clear();
-  if (Now < NextRenewalAt)
+  if (Now < NextRenewalAt || (!DelegatedTo && !IsStable))
     return;
   if (!DelegatedTo)
-    DelegatedTo = View.Local.front();
+    DelegatedTo = Preferred;
   NextRenewalAt = Now + RenewalPeriod;
   DelegatedUntil = Now + DelegationRetention;
   Outgoing.push_back({*DelegatedTo, makeRequest(delegation_change::Renew)});
