--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -4,6 +4,7 @@
 #include "gateway/detail/target_signals.hpp"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <cstdio>
 #include <cstdlib>
 #include <utility>
@@ -30,6 +31,9 @@
 /// request is rejected immediately.
 static constexpr unsigned MaxColdWaits = 3;
 static constexpr milliseconds MaxColdWait{150};
+/// Period in which a request that waits for a free slot of one target looks for
+/// another target.
+static constexpr milliseconds SlotCheckPeriod{50};
 /// Retry delay given to callers whose request arrives late in a stop; other
 /// entries serve them.
 static constexpr milliseconds StopRetryAfter{50};
@@ -87,6 +91,8 @@
     respondWithError(404, "no_route", std::nullopt);
     return false;
   }
+  if (!resolveTeam())
+    return false;
   if (isBlocked()) {
     refuseBlocked();
     return false;
@@ -150,11 +156,14 @@
 }
 
 void exchange::selectTarget() {
+  stopWaitingForSlot();
   // A late event loop may not have told yet.
   if (Caller->hasCallerDisconnected())
     return onCallerDisconnected();
   if (isBlocked())
     return refuseBlocked();
+  if (hasLostPermission())
+    return refuseLostPermission();
   const auto Now = base::boot_clock::now();
   if (Now + MinTimeToSend >= Query.Deadline) {
     if (!hasRunningAttempt())
@@ -164,6 +173,8 @@
   const auto Choice = Context.Placer.choose(Query, Now);
   if (const auto *NoTargetResult = std::get_if<placement::no_target>(&Choice))
     return onNoTarget(*NoTargetResult);
+  if (const auto *Wait = std::get_if<placement::slot_wait>(&Choice))
+    return waitForSlot(*Wait);
   send(std::get<placement::chosen_target>(Choice));
 }
 
@@ -187,6 +198,43 @@
                        [Self = shared_from_this()] { Self->selectTarget(); });
 }
 
+void exchange::waitForSlot(const placement::slot_wait &Wait) {
+  if (hasRunningAttempt())
+    return;
+  Context.Metrics
+      .counter("skylarkdyke_slot_waits_total",
+               "Waits for a free slot of a target, by service",
+               {{"service", Query.Service->Name.str()}})
+      .add();
+  SlotWait = Wait;
+  SlotWait->Place = Context.Placer.waitingRequests().add(
+      Wait.Target, Wait.Place, [Weak = weak_from_this()] {
+        if (const auto Exchange = Weak.lock())
+          Exchange->selectTarget();
+      });
+  NextAttemptTimer.set(
+      std::min(Wait.Place.StartBy, base::boot_clock::now() + SlotCheckPeriod),
+      [Self = shared_from_this()] { Self->selectTarget(); });
+}
+
+void exchange::stopWaitingForSlot() {
+  if (!SlotWait)
+    return;
+  NextAttemptTimer.cancel();
+  Context.Placer.waitingRequests().remove(SlotWait->Target, SlotWait->Place);
+  SlotWait.reset();
+}
+
+/// Lets the next request that waits for a target try again, once the current
+/// event has been handled.
+void exchange::wakeWaitingRequest(const base::target_id &Target) {
+  if (!Context.Placer.waitingRequests().hasWaiting(Target))
+    return;
+  boost::asio::post(Context.Loop, [&Context = Context, Target] {
+    Context.Placer.waitingRequests().wakeFirst(Target);
+  });
+}
+
 void exchange::onNoTarget(const placement::no_target &NoTargetResult) {
   if (hasRunningAttempt())
     return;
@@ -218,7 +266,7 @@
   const auto Self = shared_from_this();
   const std::size_t Index = Attempts.size() - 1;
   Channel->callStreaming(
-      toTargetRequest(Caller->request(), Context.Headers, Chosen.Id, TimeLeft),
+      targetRequest(Chosen.Id, TimeLeft),
       {Now + ConnectTimeout, Query.Deadline, sendCheck(Chosen)},
       {[Self, Index, IsFirst = !Channel->isOpen()](
            const net::http_response_head &Head, bool Complete) mutable {
@@ -232,12 +280,16 @@
   scheduleHedge(Attempts.back());
 }
 
-/// Returns a check whether a target still wants the request once the connection
-/// to it is open, which states the time that is left by then.
+/// Returns a check whether the request is still permitted and wanted by its
+/// target once the connection to that is open. It states the time that is left
+/// by then.
 std::function<bool(net::http_request &)>
 exchange::sendCheck(const placement::chosen_target &Chosen) const {
-  return [&Context = Context, Id = Chosen.Id,
+  return [&Context = Context, Weak = weak_from_this(), Id = Chosen.Id,
           Deadline = Query.Deadline](net::http_request &Request) {
+    const auto Exchange = Weak.lock();
+    if (Exchange && Exchange->hasLostPermission())
+      return false;
     const auto Now = base::boot_clock::now();
     setTimeLeft(Request, Context.Headers,
                 std::chrono::duration_cast<milliseconds>(Deadline - Now));
@@ -288,6 +340,7 @@
 void exchange::onCallResult(std::size_t Index, net::call_result Result) {
   attempt &Attempt = Attempts[Index];
   Attempt.Running = false;
+  wakeWaitingRequest(Attempt.Chosen.Id);
   const auto Now = base::boot_clock::now();
   Context.Placer.recordRoundTrip(Attempt.Chosen.Id,
                                  Attempt.Channel->connectTime());
@@ -398,6 +451,7 @@
 
 void exchange::cancelRunningAttempts() {
   Done = true;
+  stopWaitingForSlot();
   NextAttemptTimer.cancel();
   for (std::size_t I = 0; I < Attempts.size(); ++I)
     if (Attempts[I].Running && !isRelayed(I))
@@ -409,6 +463,7 @@
     return;
   logRequest(0, "caller_gone");
   Done = true;
+  stopWaitingForSlot();
   NextAttemptTimer.cancel();
   // An attempt of a request that is not idempotent continues until its
   // response starts: if it were cancelled, it would be unknown whether the
@@ -442,6 +497,7 @@
 
 void exchange::respond(net::http_response Response, const char *Outcome) {
   Done = true;
+  stopWaitingForSlot();
   NextAttemptTimer.cancel();
   removeHopByHopHeaders(Response);
   logRequest(Response.result_int(), Outcome);
@@ -453,6 +509,8 @@
   net::http_response Response = net::makeResponse(Status, Reason + "\n");
   if (RetryAfter)
     setRetryAfter(Response, *RetryAfter);
+  if (Status == 401)
+    Response.set(bhttp::field::www_authenticate, "Bearer");
   const std::string RequestId = requestHeader(Context.Headers.RequestId);
   if (!RequestId.empty())
     Response.set(Context.Headers.RequestId, RequestId);
--- a/src/gateway/detail/exchange.hpp
+++ b/src/gateway/detail/exchange.hpp
@@ -9,6 +9,7 @@
 #include "gateway/detail/send_outcome.hpp"
 #include "gateway/detail/steering_state.hpp"
 #include "gateway/detail/stop_schedule.hpp"
+#include "gateway/detail/team_labels.hpp"
 #include "gateway/detail/weighted_round_robin.hpp"
 #include "skylarkdyke/admission/retry_allowance.hpp"
 #include "skylarkdyke/metrics/registry.hpp"
@@ -16,6 +17,7 @@
 #include "skylarkdyke/net/one_shot_timer.hpp"
 #include "skylarkdyke/placement/placer.hpp"
 #include "skylarkdyke/poison/fingerprint.hpp"
+#include "skylarkdyke/routing/identification.hpp"
 #include "skylarkdyke/telemetry/decision_log.hpp"
 
 #include <limits>
@@ -58,6 +60,7 @@
       std::make_shared<std::unordered_set<exchange *>>();
   /// Time after which a leaving target gets no requests.
   std::chrono::milliseconds DrainTime{2500};
+  team_labels TeamLabels = {};
 };
 
 /// \brief Handles one request: selects a target, forwards the request,
@@ -89,6 +92,12 @@
   };
 
   bool resolveRoute();
+  bool resolveTeam();
+  bool hasLostPermission() const;
+  void refuseLostPermission();
+  void respondToKeyFault(routing::key_fault Fault);
+  net::http_request targetRequest(const base::target_id &Target,
+                                  std::chrono::milliseconds TimeLeft) const;
   void readDeadline();
   void acquireQuota();
   void onQuotaResult(const quota_service::result &Result);
@@ -113,6 +122,9 @@
   bool mayTryNextTarget(placement::send_result Result);
   bool tryAcquireRetry();
   void waitForColdTarget(std::chrono::nanoseconds Time);
+  void waitForSlot(const placement::slot_wait &Wait);
+  void stopWaitingForSlot();
+  void wakeWaitingRequest(const base::target_id &Target);
   void scheduleHedge(const attempt &Attempt);
   void onCallerDisconnected();
   void endForStop();
@@ -148,6 +160,8 @@
   /// Delays an attempt while the rate limit of cold targets is reached; while
   /// an attempt runs, triggers the hedged attempt.
   net::one_shot_timer NextAttemptTimer;
+  /// Set while the request waits for a free slot of a target.
+  std::optional<placement::slot_wait> SlotWait;
   std::vector<attempt> Attempts;
   std::optional<net::http_response> TargetErrorResponse;
   /// Set while a response is sent on to the caller in pieces.
