--- a/tests/system-serve-quotas.cpp
+++ b/tests/system-serve-quotas.cpp
@@ -1,3 +1,4 @@
+#include "skylarkdyke/base/clock.hpp"
 #include "support/platform_stand_in.hpp"
 #include "support/raw_client.hpp"
 #include "support/served_entry.hpp"
