--- a/include/skylarkdyke/membership/messages.hpp
+++ b/include/skylarkdyke/membership/messages.hpp
@@ -117,9 +117,8 @@
   std::string Changes;
 };
 
-using mesh_message =
-    std::variant<entry_status, digest, state_update, quotas::token_request,
-                 quotas::token_grant>;
+using mesh_message = std::variant<entry_status, digest, state_update,
+                                  quotas::token_request, quotas::token_grant>;
 
 /// \brief Encodes a message as CBOR.
 std::string encode(const entry_status &Status);
--- a/include/skylarkdyke/quotas/token_client.hpp
+++ b/include/skylarkdyke/quotas/token_client.hpp
@@ -57,8 +57,8 @@
 ///
 /// Teams with many requests have tokens in hand for the next moments. For the
 /// others a pool is asked when a request arrives: first the one to which this
-/// entry delegates its own part, then those of other regions. A team for which none had a token is denied for a moment without
-/// asking.
+/// entry delegates its own part, then those of other regions. A team for which
+/// none had a token is denied for a moment without asking.
 ///
 /// Reads no clock and sends nothing itself: takeOutgoing() returns what to
 /// send. Not thread-safe.
--- a/include/skylarkdyke/quotas/token_limit.hpp
+++ b/include/skylarkdyke/quotas/token_limit.hpp
@@ -55,8 +55,8 @@
 /// Identifies a team in messages between entries.
 using team_key = std::uint32_t;
 
-/// \return hash of the team's name. Teams with the same hash share the tokens of
-/// one of them.
+/// \return hash of the team's name. Teams with the same hash share the tokens
+/// of one of them.
 team_key teamKeyOf(const base::team_name &Name);
 
 /// Buckets by team.
--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -131,11 +131,10 @@
 void exchange::acquireQuota() {
   if (Query.Team == nullptr || !Query.Team->Quota)
     return selectTarget();
-  Context.Quotas.acquire(
-      *Query.Team,
-      [Self = shared_from_this()](const quota_service::result &Result) {
-        Self->onQuotaResult(Result);
-      });
+  Context.Quotas.acquire(*Query.Team, [Self = shared_from_this()](
+                                          const quota_service::result &Result) {
+    Self->onQuotaResult(Result);
+  });
 }
 
 void exchange::onQuotaResult(const quota_service::result &Result) {
--- a/src/gateway/detail/mesh_link.cpp
+++ b/src/gateway/detail/mesh_link.cpp
@@ -112,21 +112,20 @@
       membership::decodeMessage(std::string(Datagram.data(), Size));
   if (!Message)
     return;
-  std::visit(base::overloaded{
-                 [this](const membership::entry_status &Status) {
-                   onHeartbeat(Status);
-                 },
-                 [this](const membership::digest &Digest) { onDigest(Digest); },
-                 [this](const membership::state_update &Update) {
-                   onStateUpdate(Update);
-                 },
-                 [this](const quotas::token_request &Request) {
-                   OnTokenRequest(Request);
-                 },
-                 [this](const quotas::token_grant &Grant) {
-                   OnTokenGrant(Grant);
-                 }},
-             *Message);
+  std::visit(
+      base::overloaded{
+          [this](const membership::entry_status &Status) {
+            onHeartbeat(Status);
+          },
+          [this](const membership::digest &Digest) { onDigest(Digest); },
+          [this](const membership::state_update &Update) {
+            onStateUpdate(Update);
+          },
+          [this](const quotas::token_request &Request) {
+            OnTokenRequest(Request);
+          },
+          [this](const quotas::token_grant &Grant) { OnTokenGrant(Grant); }},
+      *Message);
 }
 
 void mesh_link::onHeartbeat(const membership::entry_status &Status) {
--- a/src/gateway/detail/quota_service.cpp
+++ b/src/gateway/detail/quota_service.cpp
@@ -79,8 +79,7 @@
   return View;
 }
 
-quotas::region_division
-quota_service::division(base::boot_time Now) const {
+quotas::region_division quota_service::division(base::boot_time Now) const {
   return {Members.holderCountOf(Settings.Region, Now),
           static_cast<unsigned>(regions().size())};
 }
--- a/src/gateway/detail/quota_service.hpp
+++ b/src/gateway/detail/quota_service.hpp
@@ -36,8 +36,8 @@
   /// A token, or why there is none.
   using result = std::variant<quotas::token, quotas::denial>;
   using callback = std::function<void(const result &Result)>;
-  using sender = std::function<void(const base::endpoint &To,
-                                    const std::string &Message)>;
+  using sender =
+      std::function<void(const base::endpoint &To, const std::string &Message)>;
 
   quota_service(boost::asio::io_context &Loop,
                 const membership::member_table &Members,
--- a/src/membership/messages.cpp
+++ b/src/membership/messages.cpp
@@ -222,9 +222,8 @@
     if (Fields.size() >= 2 * quotas::MaxTeamsPerMessage)
       break;
     Fields.push_back(Team);
-    Fields.push_back(static_cast<std::uint64_t>(
-        std::clamp(Amount * AmountsPerToken, 0.0,
-                   static_cast<double>(MaxAmount))));
+    Fields.push_back(static_cast<std::uint64_t>(std::clamp(
+        Amount * AmountsPerToken, 0.0, static_cast<double>(MaxAmount))));
   }
   return Fields;
 }
@@ -242,9 +241,8 @@
 }
 
 std::string encode(const quotas::token_request &Request) {
-  return toCbor({MessageVersion, TokenRequestKind,
-                 base::toString(Request.From), Request.Sequence,
-                 static_cast<int>(Request.Delegation),
+  return toCbor({MessageVersion, TokenRequestKind, base::toString(Request.From),
+                 Request.Sequence, static_cast<int>(Request.Delegation),
                  amountsToJson(Request.Wanted)});
 }
 
--- a/src/quotas/token_client.cpp
+++ b/src/quotas/token_client.cpp
@@ -40,10 +40,12 @@
     It = Limits.count(It->first) == 0 ? Teams.erase(It) : std::next(It);
   for (const auto &[Team, Limit] : Limits)
     Teams
-        .try_emplace(
-            Team,
-            team_state{Limit, admission::sliding_window_counter(DemandTime),
-                       {}, 0, admission::sliding_window_counter(DemandTime)})
+        .try_emplace(Team,
+                     team_state{Limit,
+                                admission::sliding_window_counter(DemandTime),
+                                {},
+                                0,
+                                admission::sliding_window_counter(DemandTime)})
         .first->second.Limit = Limit;
 }
 
@@ -61,8 +63,8 @@
 double token_client::amountInAdvance(team_state &Team, base::boot_time Now) {
   if (Team.Denied.count(Now) > 0)
     return 0;
-  const double Rate = static_cast<double>(Team.Demand.count(Now)) /
-                      seconds(DemandTime).count();
+  const double Rate =
+      static_cast<double>(Team.Demand.count(Now)) / seconds(DemandTime).count();
   const double Needed =
       Rate * seconds(AdvanceTime).count() - heldAmount(Team, Now);
   return Needed >= 1 ? std::floor(Needed) : 0;
@@ -73,11 +75,11 @@
   if (Found == Teams.end())
     return;
   auto &Queue = Found->second.Held;
-  const auto Position = std::upper_bound(
-      Queue.begin(), Queue.end(), Held,
-      [](const held_tokens &Left, const held_tokens &Right) {
-        return Left.ExpiresAt < Right.ExpiresAt;
-      });
+  const auto Position =
+      std::upper_bound(Queue.begin(), Queue.end(), Held,
+                       [](const held_tokens &Left, const held_tokens &Right) {
+                         return Left.ExpiresAt < Right.ExpiresAt;
+                       });
   Queue.insert(Position, Held);
 }
 
--- a/src/quotas/token_limit.cpp
+++ b/src/quotas/token_limit.cpp
@@ -21,8 +21,8 @@
   token_limit Limit;
   Limit.Rate = std::min(Quota.Rate, Allowed / GrantTime);
   const double Spare = std::max(0.0, Allowed - Limit.Rate * GrantTime);
-  Limit.StartTokens = std::min(StartFraction * Bound.Slack,
-                               Spare / (ReservedStarts + 1));
+  Limit.StartTokens =
+      std::min(StartFraction * Bound.Slack, Spare / (ReservedStarts + 1));
   Limit.Capacity = Spare - ReservedStarts * Limit.StartTokens;
   return Limit;
 }
--- a/src/quotas/token_pool.cpp
+++ b/src/quotas/token_pool.cpp
@@ -69,8 +69,8 @@
 
 void token_pool::recordDelegation(const token_request &Request,
                                   base::boot_time Now) {
-  if (Request.Delegation == delegation_change::None ||
-      wasPaused(Now) || Now < AcceptsDelegationsAt)
+  if (Request.Delegation == delegation_change::None || wasPaused(Now) ||
+      Now < AcceptsDelegationsAt)
     return;
   delegation &Delegation = Delegations[Request.From];
   if (Request.Sequence < Delegation.Sequence && !Delegation.Active)
--- a/tests/support/quota_fleet.cpp
+++ b/tests/support/quota_fleet.cpp
@@ -97,9 +97,8 @@
 }
 
 bool quota_fleet::isCut(std::size_t Index) const {
-  return std::any_of(Cut.begin(), Cut.end(), [Index](const auto &Pair) {
-    return Pair.first == Index;
-  });
+  return std::any_of(Cut.begin(), Cut.end(),
+                     [Index](const auto &Pair) { return Pair.first == Index; });
 }
 
 void quota_fleet::runFor(milliseconds Duration) {
@@ -149,9 +148,9 @@
   std::poisson_distribution<unsigned> Arrivals(Team.Demand * Step.count());
   for (unsigned Left = Team.Demand > 0 ? Arrivals(Random) : 0; Left > 0;
        --Left) {
-    const std::size_t Index = Team.Entries.empty()
-                                  ? Random() % Nodes.size()
-                                  : Team.Entries[Random() % Team.Entries.size()];
+    const std::size_t Index =
+        Team.Entries.empty() ? Random() % Nodes.size()
+                             : Team.Entries[Random() % Team.Entries.size()];
     node &Node = Nodes[Index];
     if (!Node.Client || Node.Paused)
       continue;
@@ -262,16 +261,15 @@
   node &Node = Nodes[Datagram.To];
   if (!Node.Client)
     return;
-  std::visit(base::overloaded{[&](const quotas::token_request &Request) {
-                                if (const auto Grant =
-                                        Node.Pool->handle(Request, Time))
-                                  sendToken(Datagram.To, Datagram.From, *Grant,
-                                            Time);
-                              },
-                              [&](const quotas::token_grant &Grant) {
-                                Node.Client->handle(Grant, Time);
-                                process(Datagram.To, Time);
-                              }},
+  std::visit(base::overloaded{
+                 [&](const quotas::token_request &Request) {
+                   if (const auto Grant = Node.Pool->handle(Request, Time))
+                     sendToken(Datagram.To, Datagram.From, *Grant, Time);
+                 },
+                 [&](const quotas::token_grant &Grant) {
+                   Node.Client->handle(Grant, Time);
+                   process(Datagram.To, Time);
+                 }},
              Datagram.Message);
 }
 
--- a/tests/system-serve-quotas.cpp
+++ b/tests/system-serve-quotas.cpp
@@ -18,8 +18,8 @@
 
 namespace {
 
-/// Requests that the bound allows in a window of 5 s at two requests per second:
-/// 2 x 5 x 1.1 + 20.
+/// Requests that the bound allows in a window of 5 s at two requests per
+/// second: 2 x 5 x 1.1 + 20.
 constexpr std::size_t MaxInWindow = 31;
 /// Tokens that the pools have once they have been running for 4 s.
 constexpr std::size_t MinServed = 5;
@@ -91,7 +91,7 @@
   for (std::size_t I = 0; I + MaxInWindow < Served.size(); ++I)
     CHECK_TRUE(Served[I + MaxInWindow].EndedAt - Served[I].SentAt > 5s);
   LONGS_EQUAL(Served.size(), Platform.runs().size());
-  STRCMP_EQUAL("200", test_support::statusOf(
-                          askWithKey(First.front(), "f", 1000))
-                          .c_str());
+  STRCMP_EQUAL(
+      "200",
+      test_support::statusOf(askWithKey(First.front(), "f", 1000)).c_str());
 }
--- a/tests/unit-quotas-fleet.cpp
+++ b/tests/unit-quotas-fleet.cpp
@@ -169,7 +169,8 @@
   }
 }
 
-// Guards against a quota of which a part is not used while a team asks for more.
+// Guards against a quota of which a part is not used while a team asks for
+// more.
 TEST(quotas_fleet, TeamsBeyondTheirQuotaGetAllOfIt) {
   for (const std::size_t Size : {10, 59}) {
     quota_fleet Fleet(Size, 0, 3);
@@ -221,9 +222,8 @@
   for (unsigned Seed = 1; Seed <= 10; ++Seed) {
     quota_fleet Fleet(10, 0.02, Seed);
     Fleet.CountsHolders = false;
-    Failures += staysWithinBoundIn(std::move(Fleet), randomSchedule(10, Seed))
-                    ? 0
-                    : 1;
+    Failures +=
+        staysWithinBoundIn(std::move(Fleet), randomSchedule(10, Seed)) ? 0 : 1;
   }
   CHECK_TRUE(Failures > 0);
 }
--- a/tests/unit-quotas.cpp
+++ b/tests/unit-quotas.cpp
@@ -70,13 +70,12 @@
     for (const quotas::quota_bound &Bound :
          {quotas::quota_bound{}, {5s, 0, 0}, {1s, 0.5, 3}}) {
       const auto Limit = tokenLimitOf(Quota, Bound);
-      const double Window =
-          std::chrono::duration<double>(Bound.Window).count();
+      const double Window = std::chrono::duration<double>(Bound.Window).count();
       const double Allowed =
           (Quota.Rate * Window + Quota.Burst) * (1 + Bound.Overage) +
           Bound.Slack;
-      const double Usable = Limit.Rate * (Window + 0.5) + Limit.Capacity +
-                            2 * Limit.StartTokens;
+      const double Usable =
+          Limit.Rate * (Window + 0.5) + Limit.Capacity + 2 * Limit.StartTokens;
       CHECK_COMPARE(Usable, <=, Allowed + 1e-9);
       CHECK_COMPARE(Limit.Capacity, >=, 0);
       if (Bound.Overage * Window >= 0.5)
@@ -227,7 +226,8 @@
   for (quotas::team_key Key = 0; Key < 1000; ++Key)
     Many[Key] = 1;
   const auto Grant = std::get<quotas::token_grant>(
-      membership::decodeMessage(membership::encode(quotas::token_grant{5, Many}))
+      membership::decodeMessage(
+          membership::encode(quotas::token_grant{5, Many}))
           .value());
   LONGS_EQUAL(quotas::MaxTeamsPerMessage, Grant.Granted.size());
   // [4, 3, "", 1, 0, []], [4, 3, "10.0.0.1:1", 1, 9, []], [4, 4, 1, [1, -1]].
