--- a/src/gateway/detail/quota_service.cpp
+++ b/src/gateway/detail/quota_service.cpp
@@ -92,8 +92,9 @@
     installQuotas(*Routes, Now);
   }
   Pool.update(division(Now), Now);
-  if (HasQuotas)
-    Client.tick(poolView(Now), Now);
+  // Also without quotas, so that an entry that starts already knows the pool
+  // when the configuration arrives.
+  Client.tick(poolView(Now), Now);
   processAll();
   if (!HasQuotas)
     return;
--- a/src/quotas/token_client.cpp
+++ b/src/quotas/token_client.cpp
@@ -283,6 +283,8 @@
   if (!View.MayDelegate || View.Local.empty())
     return;
   const bool IsStable = isPreferenceStable(Now);
+  if (Teams.empty())
+    return;
   const bool Moves = DelegatedTo && !(*DelegatedTo == *Preferred) &&
                      (IsStable || !isLocal(*DelegatedTo));
   if (Moves) {
