--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -52,7 +52,11 @@
     if (const auto Exchange = Weak.lock())
       Exchange->onCallerDisconnected();
   });
-  Self->acquireQuota();
+  Self->Caller->awaitTurn(Self->Query.Route->Repeatability ==
+                                  routing::repeatability::Idempotent
+                              ? net::request_concurrency::Shared
+                              : net::request_concurrency::Exclusive,
+                          [Self] { Self->acquireQuota(); });
 }
 
 exchange::exchange(steering_context &Context,
