--- a/tests/support/served_entry.cpp
+++ b/tests/support/served_entry.cpp
@@ -15,7 +15,8 @@
 
 served_entry::served_entry(const base::endpoint &Store,
                            std::chrono::seconds Grace,
-                           const std::optional<base::endpoint> &Seed)
+                           const std::optional<base::endpoint> &Seed,
+                           const served_limits &Limits)
     : Front{"127.0.0.1", freePort()}, Readiness{"127.0.0.1", freePort()},
       Mesh{"127.0.0.1", freePort()},
       Folder(std::filesystem::temp_directory_path() /
@@ -24,7 +25,8 @@
   std::ofstream(Folder / "entry.toml")
       << "[self]\nnode_name = \"e" << Front.Port
       << "\"\nzone = \"z\"\nregion = \"r\"\n"
-      << "[self.limits]\ncpu_share = 0.2\nmax_fds = 1000\nmemory_mb = 160\n"
+      << "[self.limits]\ncpu_share = 0.2\nmax_fds = " << Limits.MaxDescriptors
+      << "\nmemory_mb = " << Limits.MemoryMb << "\n"
       << "[network]\nseeds = [\"" << base::toString(Seed.value_or(Mesh))
       << "\"]\n"
       << "[network.bind]\nfront = \"" << base::toString(Front)
--- a/tests/support/served_entry.hpp
+++ b/tests/support/served_entry.hpp
@@ -11,6 +11,12 @@
 
 namespace test_support {
 
+/// \brief Limits of the machine in the settings of a process.
+struct served_limits {
+  unsigned MemoryMb = 160;
+  unsigned MaxDescriptors = 1000;
+};
+
 /// \brief One process of `skylarkdyke serve` on a platform stand-in.
 class served_entry {
 public:
@@ -20,7 +26,8 @@
   explicit served_entry(
       const skylarkdyke::base::endpoint &Store,
       std::chrono::seconds Grace = std::chrono::seconds(4),
-      const std::optional<skylarkdyke::base::endpoint> &Seed = std::nullopt);
+      const std::optional<skylarkdyke::base::endpoint> &Seed = std::nullopt,
+      const served_limits &Limits = {});
   ~served_entry();
   served_entry(const served_entry &) = delete;
   served_entry &operator=(const served_entry &) = delete;
@@ -33,6 +40,7 @@
   bool isReady() const;
 
   const skylarkdyke::base::endpoint &front() const { return Front; }
+  const skylarkdyke::base::endpoint &readiness() const { return Readiness; }
   const skylarkdyke::base::endpoint &mesh() const { return Mesh; }
   const std::filesystem::path &folder() const { return Folder; }
   process &program() { return *Process; }
