--- a/include/skylarkdyke/net/http_channel.hpp
+++ b/include/skylarkdyke/net/http_channel.hpp
@@ -130,9 +130,14 @@
             response_filter Filter, handler OnDone);
 
   /// \brief Sends a request like call(), and reads its response in parts.
+  /// \param Request its body is not used
+  /// \param Body body of the request, whose length the header states; null for
+  /// a request without one. It is released once it was written, or the
+  /// connection is closed.
   /// \param Observer its callbacks are never called from within this call
-  void callStreaming(http_request Request, const call_limits &Limits,
-                     response_observer Observer);
+  void callStreaming(http_request Request,
+                     std::shared_ptr<const std::string> Body,
+                     const call_limits &Limits, response_observer Observer);
 
   /// \brief Continues to read a streamed response after a piece was delivered.
   /// Does nothing if no call waits for this.
--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -191,6 +191,8 @@
   const std::size_t Index = Attempts.size() - 1;
   Channel->callStreaming(
       toTargetRequest(Caller->request(), Context.Headers, Chosen.Id, TimeLeft),
+      // All attempts send the bytes that the request holds.
+      std::shared_ptr<const std::string>(Caller, &Caller->request().body()),
       {Now + ConnectTimeout, Query.Deadline, sendCheck(Chosen)},
       {[Self, Index, IsFirst = !Channel->isOpen()](
            const net::http_response_head &Head, bool Complete) mutable {
--- a/src/gateway/detail/send_outcome.cpp
+++ b/src/gateway/detail/send_outcome.cpp
@@ -123,17 +123,27 @@
               std::to_string(std::max(TimeLeft.count(), std::int64_t{0})));
 }
 
+/// Returns whether a request without a body states its length.
+static bool statesEmptyBody(bhttp::verb Method) {
+  return Method == bhttp::verb::options || Method == bhttp::verb::put ||
+         Method == bhttp::verb::post;
+}
+
 net::http_request toTargetRequest(const net::http_request &Request,
                                   const header_names &Headers,
                                   const base::target_id &Target,
                                   std::chrono::milliseconds TimeLeft) {
-  net::http_request TargetRequest = Request;
+  net::http_request TargetRequest(Request.base());
   TargetRequest.version(11);
   removeHopByHopHeaders(TargetRequest);
   TargetRequest.erase(bhttp::field::expect);
   TargetRequest.set(Headers.ExpectedTarget, Target.str());
   setTimeLeft(TargetRequest, Headers, TimeLeft);
-  TargetRequest.prepare_payload();
+  const std::size_t Length = Request.body().size();
+  if (Length > 0 || statesEmptyBody(Request.method()))
+    TargetRequest.content_length(Length);
+  else
+    TargetRequest.erase(bhttp::field::content_length);
   return TargetRequest;
 }
 
--- a/src/gateway/detail/send_outcome.hpp
+++ b/src/gateway/detail/send_outcome.hpp
@@ -60,7 +60,8 @@
 std::optional<std::uint64_t>
 bodyLength(const net::http_response_head &Response);
 
-/// \brief Creates the request that is sent to a target.
+/// \brief Creates the request that is sent to a target, without its body,
+/// whose length it states.
 /// \param Target the only target that may execute the request
 /// \param TimeLeft time within which the target must respond
 net::http_request toTargetRequest(const net::http_request &Request,
--- a/src/net/http_channel.cpp
+++ b/src/net/http_channel.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cstdlib>
 #include <limits>
@@ -108,6 +109,21 @@
   };
 };
 
+/// A request that is being written.
+struct outgoing_request {
+  using message = beast::http::request<beast::http::span_body<const char>>;
+
+  outgoing_request(http_request::header_type Header,
+                   std::shared_ptr<const std::string> Body)
+      : Body(std::move(Body)), Message(std::move(Header)) {
+    if (this->Body)
+      Message.body() = {this->Body->data(), this->Body->size()};
+  }
+
+  std::shared_ptr<const std::string> Body;
+  message Message;
+};
+
 } // namespace
 
 struct http_channel::impl {
@@ -151,7 +167,10 @@
   response_memory &Memory;
   beast::flat_buffer Buffer;
   std::optional<parser> Parser;
+  /// Request without its body.
   http_request Request;
+  /// Body of the request until it is written.
+  std::shared_ptr<const std::string> RequestBody;
   call_limits Limits{};
   response_observer Observer;
   /// What happens to the current response; nothing until its head was read.
@@ -188,8 +207,10 @@
 
 void http_channel::call(http_request Request, const call_limits &Limits,
                         response_filter Filter, handler OnDone) {
+  auto Body =
+      std::make_shared<const std::string>(std::exchange(Request.body(), {}));
   callStreaming(
-      std::move(Request), Limits,
+      std::move(Request), std::move(Body), Limits,
       {[Filter = std::move(Filter)](const http_response_head &Head, bool) {
          return Filter(http_response(http_response_head(Head)))
                     ? response_use::Collect
@@ -199,11 +220,13 @@
 }
 
 void http_channel::callStreaming(http_request Request,
+                                 std::shared_ptr<const std::string> Body,
                                  const call_limits &Limits,
                                  response_observer Observer) {
   impl &State = *Impl;
   ++State.CallId;
   State.Request = std::move(Request);
+  State.RequestBody = std::move(Body);
   State.Limits = Limits;
   State.Observer = std::move(Observer);
   State.Paused = false;
@@ -258,14 +281,16 @@
     const std::shared_ptr<http_channel> &Self) {
   SendStarted = true;
   setTimer(Self, Limits.Deadline, channel_fault::DeadlinePassed);
+  const auto Outgoing = std::make_shared<outgoing_request>(
+      std::move(Request.base()), std::exchange(RequestBody, nullptr));
   // A write error is not reported: the peer may have sent a response before
   // it closed the connection.
-  beast::http::async_write(
-      Socket, Request,
-      [this, Self, Id = CallId](const error_code &Result, std::size_t) {
-        if (Id == CallId && !Result)
-          RequestWritten = true;
-      });
+  beast::http::async_write(Socket, Outgoing->Message,
+                           [this, Self, Outgoing, Id = CallId](
+                               const error_code &Result, std::size_t) {
+                             if (Id == CallId && !Result)
+                               RequestWritten = true;
+                           });
   readResponse(Self);
 }
 
@@ -469,6 +494,7 @@
 void http_channel::impl::finish(call_result Result) {
   ++CallId;
   Timer.cancel();
+  RequestBody.reset();
   Paused = false;
   const response_observer Ended = std::exchange(Observer, {});
   Ended.OnEnd(std::move(Result));
