Bound the memory and the connections that callers may use

Nothing counted bytes over all connections: crowds of clients that send large bodies, trailers without end or many header fields, or read nothing, made a process exceed its memory, and silent connections used up its descriptors.

Headers, bodies, buffers, connections and waiting responses are charged to one account of half the memory in the settings. What does not fit is refused before it is read, or evicts what has made no progress; requests that were passed on are never evicted. Trailers and chunk lines must fit the read buffer. A new connection replaces an inactive one if all are in use. The control servers have their own account and a 16th of the descriptors each.

--- a/include/skylarkdyke/net/http_server.hpp
+++ b/include/skylarkdyke/net/http_server.hpp
@@ -3,6 +3,7 @@
 
 #include "skylarkdyke/base/message_limits.hpp"
 #include "skylarkdyke/net/http_channel.hpp"
+#include "skylarkdyke/net/memory_account.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <chrono>
@@ -79,7 +80,7 @@
   /// header otherwise.
   std::size_t Limit = 0;
   /// The header as far as it was read.
-  const http_request &Header;
+  const http_request::header_type &Header;
 };
 
 /// \brief Asynchronous HTTP/1.1 server on one address.
@@ -93,7 +94,9 @@
   using unreadable_handler =
       std::function<http_response(const unreadable_request &)>;
 
-  /// \param MaxConnections connections beyond this number are closed at once
+  /// \param MaxConnections beyond this number, a new connection replaces the
+  /// one without a complete request that has been inactive for longest, or is
+  /// closed at once if there is none
   /// \param Limits called for each request, so that changed limits apply to
   /// the next one
   http_server(boost::asio::io_context &Loop, std::size_t MaxConnections,
@@ -104,6 +107,10 @@
   /// status of the request otherwise.
   void setUnreadableHandler(unreadable_handler OnUnreadable);
 
+  /// \brief Charges what is held for callers to an account. Without it, the
+  /// memory is not limited.
+  void setMemory(std::shared_ptr<memory_account> Memory);
+
   /// \brief Binds an IPv4 address and starts to accept connections.
   /// \return false if the address cannot be bound
   bool listen(const base::endpoint &Address);
@@ -119,6 +126,9 @@
   /// response.
   std::size_t activeRequests() const;
 
+  /// \brief Returns how many connections were closed for new ones.
+  std::uint64_t replacedConnections() const;
+
   struct impl;
 
 private:
--- a/src/gateway/detail/gauges.cpp
+++ b/src/gateway/detail/gauges.cpp
@@ -15,6 +15,34 @@
   Metrics.gauge(Name, Help).set(std::chrono::duration<double>(Time).count());
 }
 
+static void setMemoryActions(metrics::registry &Metrics, const char *Action,
+                             std::uint64_t Count) {
+  Metrics
+      .gauge("skylarkdyke_caller_memory_actions",
+             "What the limit of the memory for callers has caused since the "
+             "start",
+             {{"action", Action}})
+      .set(static_cast<double>(Count));
+}
+
+static void setCallerMemory(metrics::registry &Metrics,
+                            const gauge_sources &Sources) {
+  const net::memory_account &Memory = Sources.CallerMemory;
+  Metrics
+      .gauge("skylarkdyke_caller_memory_bytes",
+             "Memory held for callers, over all connections")
+      .set(static_cast<double>(Memory.heldBytes()));
+  Metrics
+      .gauge("skylarkdyke_caller_memory_limit_bytes",
+             "Limit of the memory held for callers")
+      .set(static_cast<double>(Memory.limit()));
+  const net::memory_account::counts &Totals = Memory.totals();
+  setMemoryActions(Metrics, "refused", Totals.RefusedCharges);
+  setMemoryActions(Metrics, "evicted_request", Totals.EvictedRequests);
+  setMemoryActions(Metrics, "evicted_response", Totals.EvictedResponses);
+  setMemoryActions(Metrics, "replaced_connection", Sources.ReplacedConnections);
+}
+
 void updateGauges(metrics::registry &Metrics, const gauge_sources &Sources,
                   base::boot_time Now) {
   const auto SetGauge = [&Metrics](const char *Name, const char *Help,
@@ -57,6 +85,7 @@
   setStoreCalls(Metrics, "write", Calls.Writes);
   setStoreCalls(Metrics, "renewal", Calls.Renewals);
   setStoreCalls(Metrics, "failed", Calls.Failed);
+  setCallerMemory(Metrics, Sources);
 }
 
 } // namespace skylarkdyke::gateway::detail
--- a/src/gateway/detail/gauges.hpp
+++ b/src/gateway/detail/gauges.hpp
@@ -4,6 +4,7 @@
 #include "gateway/detail/steering_state.hpp"
 #include "skylarkdyke/gateway/change_source.hpp"
 #include "skylarkdyke/metrics/registry.hpp"
+#include "skylarkdyke/net/memory_account.hpp"
 #include "skylarkdyke/placement/target_registry.hpp"
 
 namespace skylarkdyke::gateway::detail {
@@ -15,6 +16,9 @@
   store_call_counts StoreCalls;
   /// Number of live entries, this one included.
   unsigned EntryCount;
+  const net::memory_account &CallerMemory;
+  /// Number of connections of callers that were closed for new ones.
+  std::uint64_t ReplacedConnections;
 };
 
 /// \brief Sets all gauges to the current state.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -37,12 +37,18 @@
 /// Requests per second that each Mbit/s of link bandwidth can carry, counting
 /// both directions to the caller and the target.
 static constexpr double RequestsPerMbit = 20;
-/// File descriptors reserved for connections to targets and the store, and for
-/// files.
-static constexpr std::size_t ReservedDescriptors = 1200;
-/// Maximum number of connections to each of the readiness, directory and
-/// metrics servers.
+/// File descriptors reserved for connections to targets, the store, other
+/// entries and the control servers, and for files.
+static constexpr std::size_t ReservedDescriptors = 1600;
+/// Maximum number of connections to each of the control servers, which are the
+/// readiness, directory and metrics servers, and the part of all descriptors
+/// that each of them may use.
 static constexpr std::size_t MaxControlConnections = 400;
+static constexpr std::size_t ControlDescriptorsDivisor = 16;
+/// Parts of the memory of the process that may be held for callers, and for the
+/// clients of the control servers.
+static constexpr std::size_t CallerMemoryDivisor = 2;
+static constexpr std::size_t ControlMemoryDivisor = 32;
 /// Period in which a stopping entry checks whether all responses were sent.
 static constexpr milliseconds StopCheckPeriod{50};
 /// Time after the start during which the demand of the other entries may be
@@ -79,6 +85,7 @@
   void onDirectoryRequest(const std::shared_ptr<net::pending_request> &Request);
   void onMetricsRequest(const std::shared_ptr<net::pending_request> &Request);
   std::size_t maxCallerConnections() const;
+  std::size_t maxControlConnections() const;
   void continueStop();
 
   boost::asio::io_context &Loop;
@@ -100,6 +107,8 @@
   detail::directory_service Directory;
   detail::mesh_link Mesh;
   detail::cold_watch ColdWatch;
+  std::shared_ptr<net::memory_account> CallerMemory;
+  std::shared_ptr<net::memory_account> ControlMemory;
   net::http_server FrontServer;
   net::http_server ReadinessServer;
   net::http_server DirectoryServer;
@@ -154,6 +163,10 @@
           [this] { updateShares(base::boot_clock::now()); }),
       ColdWatch(this->Protocol.Headers, State, TargetRegistry, Pool, Metrics,
                 Log, {Settings.Mesh, Settings.Region}),
+      CallerMemory(std::make_shared<net::memory_account>(Settings.MemoryBytes /
+                                                         CallerMemoryDivisor)),
+      ControlMemory(std::make_shared<net::memory_account>(
+          Settings.MemoryBytes / ControlMemoryDivisor)),
       FrontServer(
           Loop, maxCallerConnections(),
           [this] { return detail::limitsInForce(State); },
@@ -161,17 +174,17 @@
             detail::exchange::start(Context, std::move(Request));
           }),
       ReadinessServer(
-          Loop, MaxControlConnections, controlLimits,
+          Loop, maxControlConnections(), controlLimits,
           [this](const std::shared_ptr<net::pending_request> &Request) {
             onReadinessRequest(Request);
           }),
       DirectoryServer(
-          Loop, MaxControlConnections, controlLimits,
+          Loop, maxControlConnections(), controlLimits,
           [this](const std::shared_ptr<net::pending_request> &Request) {
             onDirectoryRequest(Request);
           }),
       MetricsServer(
-          Loop, MaxControlConnections, controlLimits,
+          Loop, maxControlConnections(), controlLimits,
           [this](const std::shared_ptr<net::pending_request> &Request) {
             onMetricsRequest(Request);
           }),
@@ -183,6 +196,11 @@
              : Settings.MaxDescriptors / 2;
 }
 
+std::size_t gateway::impl::maxControlConnections() const {
+  return std::min(MaxControlConnections,
+                  Settings.MaxDescriptors / ControlDescriptorsDivisor);
+}
+
 bool gateway::impl::start() {
   const auto Now = base::boot_clock::now();
   State.setMaxAge(Settings.ConfigurationBound);
@@ -191,6 +209,10 @@
         return detail::respondToUnreadable(Request, State, Protocol.Headers,
                                            Log, base::boot_clock::now());
       });
+  FrontServer.setMemory(CallerMemory);
+  for (net::http_server *Server :
+       {&ReadinessServer, &DirectoryServer, &MetricsServer})
+    Server->setMemory(ControlMemory);
   Context.DrainTime = Settings.DrainTime;
   State.setEntryCallback([this](const base::endpoint &Mesh) {
     Members.addAddress(Mesh, base::boot_clock::now());
@@ -385,7 +407,8 @@
   detail::updateGauges(
       Metrics,
       {TargetRegistry, State, Source.callCounts(),
-       static_cast<unsigned>(Members.liveMembers(Now).size() + 1)},
+       static_cast<unsigned>(Members.liveMembers(Now).size() + 1),
+       *CallerMemory, FrontServer.replacedConnections()},
       Now);
   Request->answer(net::makeResponse(200, Metrics.render()));
 }
--- a/src/net/detail/received_request.cpp
+++ b/src/net/detail/received_request.cpp
@@ -8,12 +8,18 @@
 
 namespace bhttp = boost::beast::http;
 
-received_request::received_request(std::weak_ptr<session> Connection,
-                                   std::string CallerAddress,
-                                   http_request Request, bool KeepAlive)
+/// Memory of the header of a response.
+static constexpr std::size_t ResponseHeaderBytes = 1024;
+
+received_request::received_request(
+    std::weak_ptr<session> Connection, std::string CallerAddress,
+    http_request Request, bool KeepAlive,
+    std::unique_ptr<memory_account::charge> Charge)
     : Connection(std::move(Connection)),
       CallerAddress(std::move(CallerAddress)), Request(std::move(Request)),
-      KeepAlive(KeepAlive) {}
+      Charge(std::move(Charge)), KeepAlive(KeepAlive) {
+  this->Charge->setStage(memory_account::stage::Running, ArrivedAt);
+}
 
 bool received_request::hasCallerDisconnected() const {
   const auto Session = Connection.lock();
@@ -26,7 +32,11 @@
     return;
   State = state::Complete;
   OnDisconnected = nullptr;
-  Response = std::move(NewResponse);
+  const std::size_t Bytes =
+      Charge->bytes() + NewResponse.body().capacity() + ResponseHeaderBytes;
+  Response = Charge->resizeForResponse(Bytes, base::boot_clock::now())
+                 ? std::move(NewResponse)
+                 : makeResponse(502, "no memory for the response\n");
   Session->writeNext();
 }
 
@@ -64,6 +74,7 @@
 
 http_response &received_request::prepareResponse(bool KeepOpen) {
   LeavesOpen = KeepOpen;
+  startSending();
   Response->version(11);
   Response->keep_alive(KeepOpen);
   // A response to HEAD carries the length of a body that is not sent, so the
@@ -79,6 +90,7 @@
 }
 
 response_stream::frame received_request::takeFrame() {
+  startSending();
   piece Next = std::move(*Piece);
   Piece.reset();
   return Stream->makeFrame(std::move(Next.Body), Next.Last);
@@ -90,7 +102,13 @@
     Stream->releasePiece();
 }
 
+/// From now on the caller's reading is awaited.
+void received_request::startSending() {
+  Charge->setStage(memory_account::stage::Sending, base::boot_clock::now());
+}
+
 void received_request::onPieceWritten() {
+  Charge->setStage(memory_account::stage::Running, base::boot_clock::now());
   if (const auto Callback = std::exchange(OnWritten, nullptr))
     Callback();
 }
--- a/src/net/detail/received_request.hpp
+++ b/src/net/detail/received_request.hpp
@@ -20,8 +20,10 @@
 public:
   /// \param KeepAlive whether the caller keeps its connection open after the
   /// response
+  /// \param Charge memory of the request
   received_request(std::weak_ptr<session> Connection, std::string CallerAddress,
-                   http_request Request, bool KeepAlive);
+                   http_request Request, bool KeepAlive,
+                   std::unique_ptr<memory_account::charge> Charge);
 
   const http_request &request() const override { return Request; }
   base::boot_time arrivedAt() const override { return ArrivedAt; }
@@ -41,6 +43,9 @@
                   std::function<void()> OnWritten) override;
   void abandon() override;
 
+  /// \brief Returns whether the response must be given up to make room.
+  bool isEvicted() const { return Charge->isEvicted(); }
+
   bool keepsAlive() const { return KeepAlive; }
 
   /// \brief Returns whether the response, or the last piece of it, was given.
@@ -101,6 +106,8 @@
     Closed,
   };
 
+  void startSending();
+
   struct piece {
     std::string Body;
     bool Last;
@@ -109,6 +116,7 @@
   std::weak_ptr<session> Connection;
   std::string CallerAddress;
   http_request Request;
+  std::unique_ptr<memory_account::charge> Charge;
   base::boot_time ArrivedAt = base::boot_clock::now();
   bool KeepAlive;
   bool LeavesOpen = true;
--- a/src/net/detail/session.cpp
+++ b/src/net/detail/session.cpp
@@ -4,6 +4,7 @@
 #include "net/detail/request_errors.hpp"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
@@ -21,6 +22,14 @@
 static constexpr std::chrono::milliseconds CallerAckTimeout{5000};
 /// Time between two looks for the caller's leaving while its bytes stay unread.
 static constexpr std::chrono::milliseconds LeavingPollPeriod{50};
+/// Memory of an open connection without a request.
+static constexpr std::size_t ConnectionBytes = 4096;
+/// Size of the read buffer beyond the maximum size of a header. Header and
+/// trailers, and the line before a chunk, must fit the buffer.
+static constexpr std::size_t ReadAheadBytes = 4096;
+/// Memory of a header field besides its name and value.
+static constexpr std::size_t FieldOverheadBytes = 80;
+static constexpr const char *NoMemoryReason = "no memory for the request";
 
 session::session(std::shared_ptr<http_server::impl> Owner, tcp::socket Socket)
     : Server(std::move(Owner)), Socket(std::move(Socket)), Timer(Server->Loop) {
@@ -29,6 +38,8 @@
   const auto Peer = this->Socket.remote_endpoint(Failure);
   if (!Failure)
     CallerAddress = Peer.address().to_string();
+  ConnectionCharge.emplace(Server->Memory, CallerAddress,
+                           memory_account::stage::Connected, ActiveAt, nullptr);
 }
 
 session::~session() {
@@ -40,6 +51,8 @@
   error_code Ignored;
   Socket.set_option(tcp::no_delay(true), Ignored);
   setAckTimeout(Socket.native_handle(), CallerAckTimeout);
+  if (!ConnectionCharge->resize(ConnectionBytes, ActiveAt))
+    return closeSocket();
   awaitRequest();
 }
 
@@ -95,6 +108,7 @@
     return;
   Buffer.shrink_to_fit();
   IdleSince = base::boot_clock::now();
+  ActiveAt = IdleSince;
   setIdleTimer();
   watch();
 }
@@ -137,21 +151,71 @@
   // not close the connection before the response is sent.
   setBusy(true);
   Reading = read_state::Header;
+  ActiveAt = base::boot_clock::now();
   ReadLimits = Server->Limits();
   Parser.emplace();
   Parser->header_limit(static_cast<std::uint32_t>(std::min<std::size_t>(
       ReadLimits.MaxHeaderBytes, std::numeric_limits<std::uint32_t>::max())));
   // onHeader() checks the length of the body with the limit of then.
   Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-  closeAt(base::boot_clock::now() + ReadLimits.HeaderTimeout);
+  Buffer.max_size(
+      std::max(ReadLimits.MaxHeaderBytes + ReadAheadBytes, Buffer.capacity()));
+  startCharge();
+  if (!ReadCharge->resize(Buffer.max_size(), ActiveAt))
+    return reject(503, NoMemoryReason);
+  closeAt(ActiveAt + ReadLimits.HeaderTimeout);
+  ReadPending = true;
   bhttp::async_read_header(
       Socket, Buffer, *Parser,
       [Self = shared_from_this()](const error_code &Result, std::size_t) {
+        Self->ReadPending = false;
         if (Self->mayUseRead(Result))
           Self->onHeader(Result);
       });
 }
 
+void session::startCharge() {
+  ReadCharge = std::make_unique<memory_account::charge>(
+      Server->Memory, CallerAddress, memory_account::stage::Receiving, ActiveAt,
+      [&Loop = Server->Loop, Weak = weak_from_this()] {
+        asio::post(Loop, [Weak] {
+          if (const auto Self = Weak.lock())
+            Self->onEvicted();
+        });
+      });
+}
+
+/// Returns the memory of a parsed header.
+static std::size_t memoryOf(const http_request::header_type &Header) {
+  std::size_t Bytes = Header.target().size();
+  for (const auto &Field : Header)
+    Bytes +=
+        Field.name_string().size() + Field.value().size() + FieldOverheadBytes;
+  return Bytes;
+}
+
+/// Charges what the current request holds or will need for the length that it
+/// states.
+bool session::chargeRead() {
+  const std::size_t BodyBytes =
+      std::max<std::size_t>(Parser->get().body().allocatedBytes(),
+                            Parser->content_length().value_or(0));
+  return ReadCharge->resize(Buffer.max_size() + HeaderBytes + BodyBytes,
+                            base::boot_clock::now());
+}
+
+/// Gives up the request that is being read, or the connection with a response
+/// that the caller does not read, to make room for others.
+void session::onEvicted() {
+  if (Lingering || !Socket.is_open())
+    return;
+  if (ReadCharge && ReadCharge->isEvicted())
+    return reject(503, NoMemoryReason);
+  if (std::any_of(Line.begin(), Line.end(),
+                  [](const auto &Request) { return Request->isEvicted(); }))
+    close();
+}
+
 /// Returns whether the request that was read is still of use.
 bool session::mayUseRead(const error_code &Failure) {
   if (Lingering || !Socket.is_open())
@@ -170,53 +234,115 @@
     return rejectUnreadable(Failure);
   if (const char *Reason = findAmbiguity(Parser->get()))
     return reject(400, Reason);
+  // A copy of the header is sent to the target.
+  HeaderBytes = 2 * memoryOf(Parser->get());
   if (Parser->is_done())
     return onBody({});
   // The parser adds the trailers to the header.
-  Header = Parser->get().base();
+  if (Parser->chunked())
+    Header = Parser->get().base();
   ReadLimits.MaxBodyBytes = Server->Limits().MaxBodyBytes;
   Parser->body_limit(ReadLimits.MaxBodyBytes);
   if (Parser->content_length().value_or(0) > ReadLimits.MaxBodyBytes)
     return rejectUnreadable(make_error_code(bhttp::error::body_limit));
+  if (!chargeRead())
+    return reject(503, NoMemoryReason);
   if (!beast::iequals(Parser->get()[bhttp::field::expect], "100-continue"))
     return readBody();
   static const std::string Continue = "HTTP/1.1 100 Continue\r\n\r\n";
   asio::async_write(
       Socket, asio::buffer(Continue),
       [Self = shared_from_this()](const error_code &Result, std::size_t) {
-        if (!Result)
+        if (!Result && Self->mayUseRead(Result))
           Self->readBody();
       });
 }
 
 void session::readBody() {
   Reading = read_state::Body;
-  closeAt(base::boot_clock::now() + TransferTimeout);
-  bhttp::async_read(
-      Socket, Buffer, *Parser,
-      [Self = shared_from_this()](const error_code &Result, std::size_t) {
+  Parser->eager(true);
+  Parser->get().body().reserve(
+      static_cast<std::size_t>(Parser->content_length().value_or(0)));
+  NextProgressAt = 0;
+  parseBody();
+}
+
+/// Parses the bytes that were read, and reads more unless the body is complete.
+void session::parseBody() {
+  error_code Failure;
+  if (Buffer.size() > 0)
+    Buffer.consume(Parser->put(Buffer.data(), Failure));
+  if (Failure == bhttp::error::need_more)
+    Failure = {};
+  if (Failure || Parser->is_done())
+    return onBody(Failure);
+  if (Buffer.size() == Buffer.max_size())
+    return rejectUnreadable(make_error_code(bhttp::error::buffer_overflow));
+  if (!chargeRead())
+    return reject(503, NoMemoryReason);
+  recordProgress();
+  ReadPending = true;
+  Socket.async_read_some(
+      Buffer.prepare(Buffer.max_size() - Buffer.size()),
+      [Self = shared_from_this()](const error_code &Result, std::size_t Size) {
+        Self->ReadPending = false;
         if (Self->mayUseRead(Result))
-          Self->onBody(Result);
+          Self->onBodyBytes(Result, Size);
       });
 }
 
+void session::onBodyBytes(const error_code &Failure, std::size_t Size) {
+  if (Failure)
+    return onCallerLeft();
+  Buffer.commit(Size);
+  parseBody();
+}
+
+void session::recordProgress() {
+  const std::size_t Size = Parser->get().body().size();
+  if (Size < NextProgressAt)
+    return;
+  NextProgressAt = Size + MinProgressBytes;
+  ActiveAt = base::boot_clock::now();
+  ReadCharge->recordProgress(ActiveAt);
+  closeAt(ActiveAt + TransferTimeout);
+}
+
 void session::onBody(const error_code &Failure) {
   if (Failure)
     return rejectUnreadable(Failure);
-  Timer.cancel();
-  Reading = read_state::Waiting;
   const bool KeepAlive = Parser->keep_alive();
-  http_request Message = Parser->release();
-  if (Message.chunked())
+  const bool Chunked = Parser->chunked();
+  auto Received = Parser->release();
+  http_request Message(std::move(Received.base()), Received.body().take());
+  if (Chunked)
     Message.base() = std::move(Header);
+  const auto Now = base::boot_clock::now();
+  if (!ReadCharge->resize(HeaderBytes + Message.body().capacity(), Now))
+    return reject(503, NoMemoryReason);
+  Timer.cancel();
+  Reading = read_state::Waiting;
+  HasHadRequest = true;
+  releaseReadMemory();
   const auto Request = std::make_shared<received_request>(
-      weak_from_this(), CallerAddress, std::move(Message), KeepAlive);
+      weak_from_this(), CallerAddress, std::move(Message), KeepAlive,
+      std::move(ReadCharge));
   Line.push_back(Request);
   setBusy(false);
   watch();
   Server->OnRequest(Request);
 }
 
+/// Releases what was needed to read a request. What is left belongs to the next
+/// one.
+void session::releaseReadMemory() {
+  Parser.reset();
+  if (Buffer.capacity() > ConnectionBytes)
+    Buffer.shrink_to_fit();
+  ConnectionCharge->resize(ConnectionBytes + Buffer.capacity(),
+                           base::boot_clock::now());
+}
+
 /// Responds with an error status to a request that exceeds a limit or cannot
 /// be parsed; closes the connection on any other read error.
 void session::rejectUnreadable(const error_code &Failure) {
@@ -226,12 +352,22 @@
 }
 
 void session::reject(unsigned Status, const std::string &Reason) {
+  const bool ParserInUse = ReadPending && Reading == read_state::Header;
   Reading = read_state::Ended;
   const std::size_t Limit =
       Status == 413 ? ReadLimits.MaxBodyBytes : ReadLimits.MaxHeaderBytes;
-  auto Response = Server->OnUnreadable({Status, Reason, Limit, Parser->get()});
+  auto Response =
+      Server->OnUnreadable({Status, Reason, Limit, Parser->get().base()});
+  if (!ParserInUse)
+    Parser.reset();
+  if (!ReadPending) {
+    Buffer.clear();
+    Buffer.shrink_to_fit();
+  }
+  ReadCharge->release();
   const auto Request = std::make_shared<received_request>(
-      weak_from_this(), CallerAddress, http_request(), false);
+      weak_from_this(), CallerAddress, http_request(), false,
+      std::move(ReadCharge));
   Line.push_back(Request);
   setBusy(false);
   Request->answer(std::move(Response));
@@ -250,6 +386,7 @@
 
 void session::closeSocket() {
   error_code Ignored;
+  Server->Sessions.erase(this);
   Timer.cancel();
   if (PollTimer)
     PollTimer->cancel();
--- a/src/net/detail/session.hpp
+++ b/src/net/detail/session.hpp
@@ -2,6 +2,7 @@
 #define SKYLARKDYKE_NET_DETAIL_SESSION_HPP
 
 #include "net/detail/received_request.hpp"
+#include "net/detail/request_body.hpp"
 #include "skylarkdyke/net/http_server.hpp"
 #include "skylarkdyke/net/one_shot_timer.hpp"
 
@@ -10,7 +11,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <deque>
+#include <limits>
 #include <optional>
+#include <tuple>
 #include <unordered_set>
 #include <utility>
 
@@ -36,6 +39,7 @@
   void accept();
   void onAccept(const detail::error_code &Failure, detail::tcp::socket Socket);
   void acceptQueued();
+  bool makeRoomForConnection();
 
   boost::asio::io_context &Loop;
   detail::tcp::acceptor Acceptor;
@@ -46,7 +50,11 @@
   unreadable_handler OnUnreadable = detail::respondToUnreadable;
   /// Holds bytes that any connection receives after its last response.
   std::array<char, 16384> Discarded{};
+  /// Sessions with an open connection.
   std::unordered_set<detail::session *> Sessions;
+  std::shared_ptr<memory_account> Memory =
+      std::make_shared<memory_account>(std::numeric_limits<std::size_t>::max());
+  std::uint64_t ReplacedConnections = 0;
   std::size_t ActiveRequests = 0;
   bool Draining = false;
   bool Stopped = false;
@@ -54,8 +62,11 @@
 
 namespace detail {
 
-/// Time limit for receiving a request body and for sending a response.
+/// Time limit for sending a response, and for receiving MinProgressBytes of a
+/// request body or its rest.
 constexpr std::chrono::seconds TransferTimeout{30};
+/// Part of a body that counts as progress.
+constexpr std::size_t MinProgressBytes = 65536;
 
 /// One connection of a caller. Requests are read one at a time: the next one
 /// after the response to the previous one.
@@ -72,6 +83,21 @@
   /// counts as active.
   void closeIfIdle();
 
+  /// Returns whether the connection may be closed for a new one: it has no
+  /// request that was passed on.
+  bool isReplaceable() const { return Line.empty() && Socket.is_open(); }
+
+  /// Returns whether another connection should be replaced rather than this
+  /// one. Connections without any request go first, then those that have been
+  /// inactive for longest.
+  bool isWorthMoreThan(const session &Other) const {
+    return std::tie(HasHadRequest, ActiveAt) >
+           std::tie(Other.HasHadRequest, Other.ActiveAt);
+  }
+
+  /// Closes the connection for a new one.
+  void replace() { close(); }
+
   /// Returns whether the caller has closed the connection, also if the event
   /// loop has not told yet.
   bool hasCallerLeft() const;
@@ -84,8 +110,7 @@
   void onAbandoned(const received_request &Request);
 
 private:
-  using parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using parser = boost::beast::http::request_parser<request_body>;
 
   enum class read_state {
     /// No request is being read.
@@ -104,7 +129,14 @@
   void onReadable();
   void readHeader();
   void onHeader(const error_code &Failure);
+  void startCharge();
+  bool chargeRead();
+  void onEvicted();
   void readBody();
+  void parseBody();
+  void onBodyBytes(const error_code &Failure, std::size_t Size);
+  void recordProgress();
+  void releaseReadMemory();
   void onBody(const error_code &Failure);
   bool mayUseRead(const error_code &Failure);
   void rejectUnreadable(const error_code &Failure);
@@ -143,15 +175,27 @@
   boost::beast::flat_buffer Buffer;
   /// Time by which the connection closes after its last response.
   base::boot_time LingerUntil{};
+  /// Bytes held for the connection itself.
+  std::optional<memory_account::charge> ConnectionCharge;
+  /// Bytes held for the request that is being read.
+  std::unique_ptr<memory_account::charge> ReadCharge;
+  /// Memory of the header of the request that is being read.
+  std::size_t HeaderBytes = 0;
+  /// Size of the body at which the next progress counts.
+  std::size_t NextProgressAt = 0;
   std::optional<parser> Parser;
   /// Limits under which the current request is read.
   base::message_limits ReadLimits;
-  /// Header of a request whose body is being read.
+  /// Header of a request whose body is being read in chunks.
   http_request::header_type Header;
   std::string CallerAddress;
   /// Requests without a complete response, in the order of their arrival.
   std::deque<std::shared_ptr<received_request>> Line;
   base::boot_time IdleSince{};
+  base::boot_time ActiveAt = base::boot_clock::now();
+  bool HasHadRequest = false;
+  /// A read that uses Buffer, and Parser if a header is read, is pending.
+  bool ReadPending = false;
   read_state Reading = read_state::Waiting;
   /// Number of requests that the server counts for this connection.
   std::size_t CountedRequests = 0;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -47,12 +47,30 @@
                          [Self = shared_from_this()] { Self->accept(); });
     return;
   }
-  if (Sessions.size() < MaxConnections)
+  if (Sessions.size() < MaxConnections || makeRoomForConnection())
     std::make_shared<detail::session>(shared_from_this(), std::move(Socket))
         ->start();
   accept();
 }
 
+/// Closes the connection that is worth least, for a new one.
+/// \return false if none may be closed
+bool http_server::impl::makeRoomForConnection() {
+  detail::session *Least = nullptr;
+  for (detail::session *Session : Sessions)
+    if (Session->isReplaceable() &&
+        (Least == nullptr || Least->isWorthMoreThan(*Session)))
+      Least = Session;
+  if (Least == nullptr)
+    return false;
+  ++ReplacedConnections;
+  LOG_EVERY_N(WARNING, 1000)
+      << "all " << MaxConnections
+      << " connections are in use; closed an inactive one for a new one";
+  Least->replace();
+  return true;
+}
+
 /// Accepts the connections that wait in the accept queue. They would be reset
 /// when the server stops to listen, with the requests sent on them.
 void http_server::impl::acceptQueued() {
@@ -99,6 +117,10 @@
   Impl->OnUnreadable = std::move(OnUnreadable);
 }
 
+void http_server::setMemory(std::shared_ptr<memory_account> Memory) {
+  Impl->Memory = std::move(Memory);
+}
+
 void http_server::drain() { Impl->Draining = true; }
 
 void http_server::stopAccepting() {
@@ -108,10 +130,16 @@
   Impl->Stopped = true;
   error_code Ignored;
   Impl->Acceptor.close(Ignored);
-  for (detail::session *Session : Impl->Sessions)
+  // Closed sessions leave the set.
+  const auto Sessions = Impl->Sessions;
+  for (detail::session *Session : Sessions)
     Session->closeIfIdle();
 }
 
 std::size_t http_server::activeRequests() const { return Impl->ActiveRequests; }
 
+std::uint64_t http_server::replacedConnections() const {
+  return Impl->ReplacedConnections;
+}
+
 } // namespace skylarkdyke::net
