Report trailers beyond the read buffer as an excessive header

The status of the parser's buffer error stays 503, as its test says: it tells nothing of the request where it comes from the library.

--- a/src/net/detail/request_errors.cpp
+++ b/src/net/detail/request_errors.cpp
@@ -14,8 +14,6 @@
   case bhttp::error::partial_message:
     return std::nullopt;
   case bhttp::error::header_limit:
-  // The trailers, or the line before a chunk, do not fit the buffer.
-  case bhttp::error::buffer_overflow:
     return 431;
   case bhttp::error::body_limit:
     return 413;
@@ -37,6 +35,7 @@
   case bhttp::error::unexpected_body:
   case bhttp::error::need_buffer:
   case bhttp::error::end_of_chunk:
+  case bhttp::error::buffer_overflow:
   case bhttp::error::bad_alloc:
   case bhttp::error::bad_status:
   case bhttp::error::bad_reason:
--- a/src/net/detail/session.cpp
+++ b/src/net/detail/session.cpp
@@ -277,7 +277,7 @@
   if (Failure || Parser->is_done())
     return onBody(Failure);
   if (Buffer.size() == Buffer.max_size())
-    return rejectUnreadable(make_error_code(bhttp::error::buffer_overflow));
+    return rejectUnreadable(make_error_code(bhttp::error::header_limit));
   if (!chargeRead())
     return reject(503, NoMemoryReason);
   recordProgress();
