--- a/src/net/detail/session.cpp
+++ b/src/net/detail/session.cpp
@@ -305,7 +305,8 @@
   NextProgressAt = Size + MinProgressBytes;
   ActiveAt = base::boot_clock::now();
   ReadCharge->recordProgress(ActiveAt);
-  closeAt(ActiveAt + TransferTimeout);
+  if (Line.empty())
+    closeAt(ActiveAt + TransferTimeout);
 }
 
 void session::onBody(const error_code &Failure) {
--- a/tests/unit-net-channel-streaming.cpp
+++ b/tests/unit-net-channel-streaming.cpp
@@ -255,3 +255,23 @@
   STRCMP_EQUAL("ok", Result->value().body().c_str());
   CHECK(!Reclaimed);
 }
+
+// Guards against a body that a connection keeps after it was written.
+TEST(net_channel_streaming, ReleasesTheBodyOnceItIsWritten) {
+  auto Body = std::make_shared<const std::string>("shared body");
+  const std::weak_ptr<const std::string> Weak = Body;
+  net::http_request Request(verb::post, "/", 11);
+  Request.content_length(Body->size());
+  Channel = net::http_channel::create(Loop, Address, Memory);
+  const auto Deadline = base::boot_clock::now() + 2s;
+  Channel->callStreaming(
+      std::move(Request), std::move(Body), {Deadline, Deadline},
+      {[](const auto &, bool) { return response_use::Stream; }, nullptr,
+       [](const net::call_result &) {}});
+  Acceptor.async_accept(Peer, [](auto) {});
+  settle();
+  std::string Received(Peer.available(), '\0');
+  Peer.read_some(boost::asio::buffer(Received));
+  CHECK(Received.find("\r\n\r\nshared body") != std::string::npos);
+  CHECK_TRUE(Weak.expired());
+}
