--- a/src/gateway/detail/gauges.cpp
+++ b/src/gateway/detail/gauges.cpp
@@ -25,9 +25,9 @@
       .set(static_cast<double>(Count));
 }
 
-static void setCallerMemory(metrics::registry &Metrics,
-                            const gauge_sources &Sources) {
-  const net::memory_account &Memory = Sources.CallerMemory;
+void updateMemoryGauges(metrics::registry &Metrics,
+                        const net::memory_account &Memory,
+                        std::uint64_t ReplacedConnections) {
   Metrics
       .gauge("skylarkdyke_caller_memory_bytes",
              "Memory held for callers, over all connections")
@@ -40,7 +40,7 @@
   setMemoryActions(Metrics, "refused", Totals.RefusedCharges);
   setMemoryActions(Metrics, "evicted_request", Totals.EvictedRequests);
   setMemoryActions(Metrics, "evicted_response", Totals.EvictedResponses);
-  setMemoryActions(Metrics, "replaced_connection", Sources.ReplacedConnections);
+  setMemoryActions(Metrics, "replaced_connection", ReplacedConnections);
 }
 
 void updateGauges(metrics::registry &Metrics, const gauge_sources &Sources,
@@ -65,6 +65,17 @@
   SetGauge("skylarkdyke_targets_cold",
            "Targets that tolerate only their cold rate",
            Sources.TargetRegistry.coldCount(Now));
+  for (const auto Cause :
+       {placement::move_cause::TargetGone, placement::move_cause::TargetJoined,
+        placement::move_cause::RegionShares, placement::move_cause::Load})
+    Metrics
+        .gauge("skylarkdyke_object_moves",
+               "Objects that changed their target since the start",
+               {{"cause", placement::toString(Cause)}})
+        .set(static_cast<double>(Sources.Placer.moves().count(Cause)));
+  SetGauge("skylarkdyke_slot_waiting",
+           "Requests that wait here for a free slot of a target",
+           Sources.Placer.waitingRequests().size());
   const steering_state &State = Sources.State;
   SetGauge("skylarkdyke_config_version", "Configuration in force",
            State.version());
@@ -85,7 +96,6 @@
   setStoreCalls(Metrics, "write", Calls.Writes);
   setStoreCalls(Metrics, "renewal", Calls.Renewals);
   setStoreCalls(Metrics, "failed", Calls.Failed);
-  setCallerMemory(Metrics, Sources);
 }
 
 } // namespace skylarkdyke::gateway::detail
