--- a/src/gateway/detail/gauges.cpp
+++ b/src/gateway/detail/gauges.cpp
@@ -15,6 +15,34 @@
   Metrics.gauge(Name, Help).set(std::chrono::duration<double>(Time).count());
 }
 
+static void setMemoryActions(metrics::registry &Metrics, const char *Action,
+                             std::uint64_t Count) {
+  Metrics
+      .gauge("skylarkdyke_caller_memory_actions",
+             "What the limit of the memory for callers has caused since the "
+             "start",
+             {{"action", Action}})
+      .set(static_cast<double>(Count));
+}
+
+void updateMemoryGauges(metrics::registry &Metrics,
+                        const net::memory_account &Memory,
+                        std::uint64_t ReplacedConnections) {
+  Metrics
+      .gauge("skylarkdyke_caller_memory_bytes",
+             "Memory held for callers, over all connections")
+      .set(static_cast<double>(Memory.heldBytes()));
+  Metrics
+      .gauge("skylarkdyke_caller_memory_limit_bytes",
+             "Limit of the memory held for callers")
+      .set(static_cast<double>(Memory.limit()));
+  const net::memory_account::counts &Totals = Memory.totals();
+  setMemoryActions(Metrics, "refused", Totals.RefusedCharges);
+  setMemoryActions(Metrics, "evicted_request", Totals.EvictedRequests);
+  setMemoryActions(Metrics, "evicted_response", Totals.EvictedResponses);
+  setMemoryActions(Metrics, "replaced_connection", ReplacedConnections);
+}
+
 void updateGauges(metrics::registry &Metrics, const gauge_sources &Sources,
                   base::boot_time Now) {
   const auto SetGauge = [&Metrics](const char *Name, const char *Help,
--- a/src/net/detail/session.cpp
+++ b/src/net/detail/session.cpp
@@ -4,6 +4,7 @@
 #include "net/detail/request_errors.hpp"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
@@ -21,6 +22,14 @@
 static constexpr std::chrono::milliseconds CallerAckTimeout{5000};
 /// Time between two looks for the caller's leaving while its bytes stay unread.
 static constexpr std::chrono::milliseconds LeavingPollPeriod{50};
+/// Memory of an open connection without a request.
+static constexpr std::size_t ConnectionBytes = 4096;
+/// Size of the read buffer beyond the maximum size of a header. Header and
+/// trailers, and the line before a chunk, must fit the buffer.
+static constexpr std::size_t ReadAheadBytes = 4096;
+/// Memory of a header field besides its name and value.
+static constexpr std::size_t FieldOverheadBytes = 80;
+static constexpr const char *NoMemoryReason = "no memory for the request";
 
 session::session(std::shared_ptr<http_server::impl> Owner, tcp::socket Socket)
     : Server(std::move(Owner)), Socket(std::move(Socket)), Timer(Server->Loop) {
@@ -29,6 +38,8 @@
   const auto Peer = this->Socket.remote_endpoint(Failure);
   if (!Failure)
     CallerAddress = Peer.address().to_string();
+  ConnectionCharge.emplace(Server->Memory, CallerAddress,
+                           memory_account::stage::Connected, ActiveAt, nullptr);
 }
 
 session::~session() {
@@ -42,6 +53,8 @@
   error_code Ignored;
   Socket.set_option(tcp::no_delay(true), Ignored);
   setAckTimeout(Socket.native_handle(), CallerAckTimeout);
+  if (!ConnectionCharge->resize(ConnectionBytes, ActiveAt))
+    return closeSocket();
   awaitRequest();
 }
 
@@ -97,6 +110,7 @@
     return;
   Buffer.shrink_to_fit();
   IdleSince = base::boot_clock::now();
+  ActiveAt = IdleSince;
   setIdleTimer();
   watch();
 }
@@ -141,7 +155,7 @@
 }
 
 bool session::expectsContinue() const {
-  return beast::iequals(Header[bhttp::field::expect], "100-continue");
+  return beast::iequals(Parser->get()[bhttp::field::expect], "100-continue");
 }
 
 /// Returns whether the body of the current request may be read now. A caller
@@ -213,22 +227,72 @@
   // not close the connection before the response is sent.
   setBusy(true);
   Reading = read_state::Header;
+  ActiveAt = base::boot_clock::now();
   ReadLimits = Server->Limits();
   Parser.emplace();
   Parser->header_limit(static_cast<std::uint32_t>(std::min<std::size_t>(
       ReadLimits.MaxHeaderBytes, std::numeric_limits<std::uint32_t>::max())));
   // onHeader() checks the length of the body with the limit of then.
   Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+  Buffer.max_size(
+      std::max(ReadLimits.MaxHeaderBytes + ReadAheadBytes, Buffer.capacity()));
+  startCharge();
+  if (!ReadCharge->resize(Buffer.max_size(), ActiveAt))
+    return reject(503, NoMemoryReason);
   if (Line.empty())
-    closeAt(base::boot_clock::now() + ReadLimits.HeaderTimeout);
+    closeAt(ActiveAt + ReadLimits.HeaderTimeout);
+  ReadPending = true;
   bhttp::async_read_header(
       Socket, Buffer, *Parser,
       [Self = shared_from_this()](const error_code &Result, std::size_t) {
+        Self->ReadPending = false;
         if (Self->mayUseRead(Result))
           Self->onHeader(Result);
       });
 }
 
+void session::startCharge() {
+  ReadCharge = std::make_unique<memory_account::charge>(
+      Server->Memory, CallerAddress, memory_account::stage::Receiving, ActiveAt,
+      [&Loop = Server->Loop, Weak = weak_from_this()] {
+        asio::post(Loop, [Weak] {
+          if (const auto Self = Weak.lock())
+            Self->onEvicted();
+        });
+      });
+}
+
+/// Returns the memory of a parsed header.
+static std::size_t memoryOf(const http_request::header_type &Header) {
+  std::size_t Bytes = Header.target().size();
+  for (const auto &Field : Header)
+    Bytes +=
+        Field.name_string().size() + Field.value().size() + FieldOverheadBytes;
+  return Bytes;
+}
+
+/// Charges what the current request holds or will need for the length that it
+/// states.
+bool session::chargeRead() {
+  const std::size_t BodyBytes =
+      std::max<std::size_t>(Parser->get().body().allocatedBytes(),
+                            Parser->content_length().value_or(0));
+  return ReadCharge->resize(Buffer.max_size() + HeaderBytes + BodyBytes,
+                            base::boot_clock::now());
+}
+
+/// Gives up the request that is being read, or the connection with a response
+/// that the caller does not read, to make room for others.
+void session::onEvicted() {
+  if (Lingering || !Socket.is_open())
+    return;
+  if (ReadCharge && ReadCharge->isEvicted())
+    return reject(503, NoMemoryReason);
+  if (std::any_of(Line.begin(), Line.end(),
+                  [](const auto &Request) { return Request->isEvicted(); }))
+    close();
+}
+
 /// Returns whether the request that was read is still of use.
 bool session::mayUseRead(const error_code &Failure) {
   if (Lingering || !Socket.is_open())
@@ -247,10 +311,13 @@
     return rejectUnreadable(Failure);
   if (const char *Reason = findAmbiguity(Parser->get()))
     return reject(400, Reason);
+  // A copy of the header is sent to the target.
+  HeaderBytes = 2 * memoryOf(Parser->get());
   if (Parser->is_done())
     return onBody({});
   // The parser adds the trailers to the header.
-  Header = Parser->get().base();
+  if (Parser->chunked())
+    Header = Parser->get().base();
   ReadLimits.MaxBodyBytes = Server->Limits().MaxBodyBytes;
   Parser->body_limit(ReadLimits.MaxBodyBytes);
   if (Parser->content_length().value_or(0) > ReadLimits.MaxBodyBytes)
@@ -262,6 +329,8 @@
 }
 
 void session::startBody() {
+  if (!chargeRead())
+    return reject(503, NoMemoryReason);
   if (!expectsContinue())
     return readBody();
   Reading = read_state::Body;
@@ -271,41 +340,98 @@
       [Self = shared_from_this()](const error_code &Result, std::size_t) {
         if (Result)
           Self->close();
-        else
+        else if (Self->mayUseRead(Result))
           Self->readBody();
       });
 }
 
 void session::readBody() {
   Reading = read_state::Body;
-  if (Line.empty())
-    closeAt(base::boot_clock::now() + TransferTimeout);
-  bhttp::async_read(
-      Socket, Buffer, *Parser,
-      [Self = shared_from_this()](const error_code &Result, std::size_t) {
+  Parser->eager(true);
+  Parser->get().body().reserve(
+      static_cast<std::size_t>(Parser->content_length().value_or(0)));
+  NextProgressAt = 0;
+  parseBody();
+}
+
+/// Parses the bytes that were read, and reads more unless the body is complete.
+void session::parseBody() {
+  error_code Failure;
+  if (Buffer.size() > 0)
+    Buffer.consume(Parser->put(Buffer.data(), Failure));
+  if (Failure == bhttp::error::need_more)
+    Failure = {};
+  if (Failure || Parser->is_done())
+    return onBody(Failure);
+  if (Buffer.size() == Buffer.max_size())
+    return rejectUnreadable(make_error_code(bhttp::error::header_limit));
+  if (!chargeRead())
+    return reject(503, NoMemoryReason);
+  recordProgress();
+  ReadPending = true;
+  Socket.async_read_some(
+      Buffer.prepare(Buffer.max_size() - Buffer.size()),
+      [Self = shared_from_this()](const error_code &Result, std::size_t Size) {
+        Self->ReadPending = false;
         if (Self->mayUseRead(Result))
-          Self->onBody(Result);
+          Self->onBodyBytes(Result, Size);
       });
 }
 
+void session::onBodyBytes(const error_code &Failure, std::size_t Size) {
+  if (Failure)
+    return onCallerLeft();
+  Buffer.commit(Size);
+  parseBody();
+}
+
+void session::recordProgress() {
+  const std::size_t Size = Parser->get().body().size();
+  if (Size < NextProgressAt)
+    return;
+  NextProgressAt = Size + MinProgressBytes;
+  ActiveAt = base::boot_clock::now();
+  ReadCharge->recordProgress(ActiveAt);
+  if (Line.empty())
+    closeAt(ActiveAt + TransferTimeout);
+}
+
 void session::onBody(const error_code &Failure) {
   if (Failure)
     return rejectUnreadable(Failure);
+  const bool KeepAlive = Parser->keep_alive();
+  const bool Chunked = Parser->chunked();
+  auto Received = Parser->release();
+  http_request Message(std::move(Received.base()), Received.body().take());
+  if (Chunked)
+    Message.base() = std::move(Header);
+  const auto Now = base::boot_clock::now();
+  if (!ReadCharge->resize(HeaderBytes + Message.body().capacity(), Now))
+    return reject(503, NoMemoryReason);
   if (Line.empty())
     Timer.cancel();
-  const bool KeepAlive = Parser->keep_alive();
   Reading = KeepAlive ? read_state::Waiting : read_state::Ended;
-  http_request Message = Parser->release();
-  if (Message.chunked())
-    Message.base() = std::move(Header);
+  HasHadRequest = true;
+  releaseReadMemory();
   const auto Request = std::make_shared<received_request>(
-      weak_from_this(), CallerAddress, std::move(Message), KeepAlive);
+      weak_from_this(), CallerAddress, std::move(Message), KeepAlive,
+      std::move(ReadCharge));
   Line.push_back(Request);
   setBusy(false);
   Server->OnRequest(Request);
   readAhead();
 }
 
+/// Releases what was needed to read a request. What is left belongs to the next
+/// one.
+void session::releaseReadMemory() {
+  Parser.reset();
+  if (Buffer.capacity() > ConnectionBytes)
+    Buffer.shrink_to_fit();
+  ConnectionCharge->resize(ConnectionBytes + Buffer.capacity(),
+                           base::boot_clock::now());
+}
+
 /// Responds with an error status to a request that exceeds a limit or cannot
 /// be parsed; closes the connection on any other read error.
 void session::rejectUnreadable(const error_code &Failure) {
@@ -315,12 +441,22 @@
 }
 
 void session::reject(unsigned Status, const std::string &Reason) {
+  const bool ParserInUse = ReadPending && Reading == read_state::Header;
   Reading = read_state::Ended;
   const std::size_t Limit =
       Status == 413 ? ReadLimits.MaxBodyBytes : ReadLimits.MaxHeaderBytes;
-  auto Response = Server->OnUnreadable({Status, Reason, Limit, Parser->get()});
+  auto Response =
+      Server->OnUnreadable({Status, Reason, Limit, Parser->get().base()});
+  if (!ParserInUse)
+    Parser.reset();
+  if (!ReadPending) {
+    Buffer.clear();
+    Buffer.shrink_to_fit();
+  }
+  ReadCharge->release();
   const auto Request = std::make_shared<received_request>(
-      weak_from_this(), CallerAddress, http_request(), false);
+      weak_from_this(), CallerAddress, http_request(), false,
+      std::move(ReadCharge));
   Line.push_back(Request);
   setBusy(false);
   Request->answer(std::move(Response));
@@ -339,6 +475,7 @@
 
 void session::closeSocket() {
   error_code Ignored;
+  Server->Sessions.erase(this);
   Timer.cancel();
   if (PollTimer)
     PollTimer->cancel();
