--- a/src/gateway/detail/cold_watch.cpp
+++ b/src/gateway/detail/cold_watch.cpp
@@ -14,6 +14,9 @@
 /// Age of the state from which the store counts as silent: an undisturbed one
 /// confirms the state every 2 s.
 static constexpr milliseconds SilentAge{3000};
+/// The same age if an entry reports that its calls to the store fail. A watch
+/// that was open when the store failed may have confirmed the state after that.
+static constexpr milliseconds FailingStoreAge{1000};
 static constexpr milliseconds ConnectTimeout{300};
 static constexpr milliseconds CheckTimeout{900};
 /// Time after which a response is late.
@@ -50,9 +53,12 @@
     : Headers(Headers), State(State), TargetRegistry(TargetRegistry),
       Pool(Pool), Metrics(Metrics), Log(Log), Own(std::move(Own)) {}
 
-bool cold_watch::isStoreSilent(base::boot_time Now) const {
+bool cold_watch::isStoreSilent(bool OthersReportFailure,
+                               base::boot_time Now) const {
   const auto Age = State.age(Now);
-  return State.isComplete() && Age && *Age > SilentAge;
+  const bool IsFailing = OthersReportFailure || State.isStoreDown();
+  return State.isComplete() && Age &&
+         *Age > (IsFailing ? FailingStoreAge : SilentAge);
 }
 
 /// The entries agree on who checks a target as far as they agree on who lives;
@@ -77,8 +83,9 @@
          TargetRegistry.acceptsRequests(Target, Now);
 }
 
-void cold_watch::tick(const std::vector<checker> &Others, base::boot_time Now) {
-  if (!isStoreSilent(Now))
+void cold_watch::tick(const std::vector<checker> &Others,
+                      bool OthersReportFailure, base::boot_time Now) {
+  if (!isStoreSilent(OthersReportFailure, Now))
     return;
   reportLateChecks(Now);
   TargetRegistry.forEach([&](const placement::target_state &Target) {
--- a/src/gateway/detail/cold_watch.hpp
+++ b/src/gateway/detail/cold_watch.hpp
@@ -57,10 +57,12 @@
   /// \brief Checks the targets that this entry has to check if the store has
   /// been silent for a while.
   /// \param Others live entries besides this one
-  void tick(const std::vector<checker> &Others, base::boot_time Now);
+  /// \param OthersReportFailure calls of one of them to the store fail
+  void tick(const std::vector<checker> &Others, bool OthersReportFailure,
+            base::boot_time Now);
 
 private:
-  bool isStoreSilent(base::boot_time Now) const;
+  bool isStoreSilent(bool OthersReportFailure, base::boot_time Now) const;
   bool isOwnDuty(const placement::target_state &Target,
                  const std::vector<checker> &Others) const;
   bool needsCheck(const placement::target_state &Target,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -71,6 +71,7 @@
   void tick();
   void updateShares(base::boot_time Now);
   bool shouldWatchStore(base::boot_time Now) const;
+  bool othersReportStoreFailure(base::boot_time Now) const;
   std::vector<detail::cold_watch::checker>
   liveCheckers(base::boot_time Now) const;
   bool isReady() const { return State.isComplete() && !Stopping; }
@@ -330,7 +331,7 @@
   TargetRegistry.sweep(Now);
   Pool.sweep(Now);
   Crashes.tick(Members.isRelay(), Now);
-  ColdWatch.tick(liveCheckers(Now), Now);
+  ColdWatch.tick(liveCheckers(Now), othersReportStoreFailure(Now), Now);
   updateShares(Now);
   Log.flush();
   NextTickAt = base::boot_clock::now() +
@@ -338,6 +339,14 @@
   Timer.set(NextTickAt, [this] { tick(); });
 }
 
+/// Returns whether calls of another live entry to the store fail.
+bool gateway::impl::othersReportStoreFailure(base::boot_time Now) const {
+  const auto Live = Members.liveMembers(Now);
+  return std::any_of(Live.begin(), Live.end(), [](const auto *Member) {
+    return !Member->Status.StoreReachable;
+  });
+}
+
 /// Returns the other entries that may check targets.
 std::vector<detail::cold_watch::checker>
 gateway::impl::liveCheckers(base::boot_time Now) const {
--- a/tests/unit-gateway-cold-watch.cpp
+++ b/tests/unit-gateway-cold-watch.cpp
@@ -53,6 +53,7 @@
   std::string ColdMs = "20000";
   std::string TargetId = "i-1";
   int Checks = 0;
+  bool OthersReportFailure = false;
   bool Full = false;
   bool Rejects = false;
   /// Checks that wait for a slot of the full target.
@@ -100,7 +101,7 @@
 
   void check(cold_watch & Watch,
              const std::vector<cold_watch::checker> &Others = {}) {
-    Watch.tick(Others, Now);
+    Watch.tick(Others, OthersReportFailure, Now);
     Loop.restart();
     Loop.run_for(100ms);
   }
@@ -244,3 +245,27 @@
   check(Watch);
   CHECK(mayBeCold());
 }
+
+// Guards against targets that become cold unnoticed while the entries still take
+// a store for silent only because of the age of the state, although calls to it
+// fail: a watch that it answered late has confirmed the state meanwhile.
+TEST(gateway_cold_watch, TargetsAreAskedSoonerIfTheStoreFails) {
+  cold_watch Watch = watchOf(Own);
+  Now += 2s;
+  check(Watch);
+  LONGS_EQUAL(0, Checks);
+  OthersReportFailure = true;
+  check(Watch);
+  LONGS_EQUAL(1, Checks);
+  OthersReportFailure = false;
+  TargetRegistry.find(Id)->ColdUntil = {};
+  State.reportFailure("status 503");
+  check(Watch);
+  LONGS_EQUAL(2, Checks);
+  // A state that is confirmed needs no checks, whoever fails.
+  TargetRegistry.find(Id)->ColdUntil = {};
+  State.confirmRevision(3);
+  OthersReportFailure = true;
+  check(Watch);
+  LONGS_EQUAL(2, Checks);
+}
