--- a/src/gateway/detail/steering_state.cpp
+++ b/src/gateway/detail/steering_state.cpp
@@ -205,7 +205,7 @@
 /// Records what another entry has confirmed some time ago.
 void steering_state::confirmAt(std::optional<milliseconds> Age) {
   if (Age)
-    Freshness.confirm(Clock() - *Age);
+    Freshness.confirmByReport(Clock() - *Age);
 }
 
 void steering_state::noteStoreAvailable() {
@@ -232,8 +232,16 @@
   return true;
 }
 
+bool steering_state::recordInRegistry(const cold_notice &Notice,
+                                      base::boot_time Now) {
+  return Notice.Finding == cold_finding::Cold
+             ? TargetRegistry.recordCold(Notice.Target, Notice.ColdUntil, Now)
+             : TargetRegistry.recordMayBeCold(Notice.Target, Notice.ColdUntil,
+                                              Now);
+}
+
 bool steering_state::recordCold(const cold_notice &Notice) {
-  if (!TargetRegistry.recordCold(Notice.Target, Notice.ColdUntil, Clock()))
+  if (!recordInRegistry(Notice, Clock()))
     return false;
   if (OnCold)
     OnCold(Notice, false);
@@ -242,12 +250,13 @@
 
 void steering_state::adopt(const cold_update &Update) {
   const auto Now = Clock();
-  const cold_notice Notice{Update.Target, Now + Update.ColdFor};
-  if (!TargetRegistry.recordCold(Notice.Target, Notice.ColdUntil, Now))
+  const cold_notice Notice{Update.Target, Now + Update.ColdFor, Update.Finding};
+  if (!recordInRegistry(Notice, Now))
     return;
   SKYLARKDYKE_LOG(INFO, TargetCold)
-      << "target=" << Update.Target.Id.str()
-      << " source=entry cold_ms=" << Update.ColdFor.count();
+      << "target=" << Update.Target.Id.str() << " source=entry confirmed="
+      << (Update.Finding == cold_finding::Cold)
+      << " cold_ms=" << Update.ColdFor.count();
   if (OnCold)
     OnCold(Notice, true);
 }
@@ -274,7 +283,7 @@
   state_snapshot Snapshot;
   Snapshot.ConfirmedRevision = ConfirmedRevision;
   Snapshot.ChangeRevision = ChangeRevision;
-  Snapshot.Age = Freshness.age(Now);
+  Snapshot.Age = Freshness.reportedAge(Now);
   Snapshot.Document = Document;
   TargetRegistry.forEach([&](const placement::target_state &State) {
     Snapshot.Targets.push_back(toEncoded(State, Now));
@@ -296,7 +305,7 @@
   state_changes Changes;
   Changes.After = Revision;
   Changes.ConfirmedRevision = ConfirmedRevision;
-  Changes.Age = Freshness.age(Now);
+  Changes.Age = Freshness.reportedAge(Now);
   for (recorded_change &Recorded : Log.changesAfter(Revision)) {
     encoded_change Encoded{std::move(Recorded), milliseconds(0)};
     if (const auto *Removed =
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -255,7 +255,8 @@
 /// Sets the interval between sends to a cold target. The first send of an entry
 /// is delayed by a fraction of that interval, which grows as the entry's share
 /// of the rate shrinks: otherwise all entries would send as soon as they
-/// discover the target.
+/// discover the target. It also keeps the interval from the latest send, which
+/// may have reached the target when it was cold already.
 void placer::scheduleColdSends(target_state &State,
                                const routing::service &Service,
                                base::boot_time Now) const {
@@ -268,7 +269,7 @@
     return;
   State.ColdSendScheduled = true;
   State.NextColdSend = std::max(
-      State.NextColdSend,
+      State.NextColdSend + State.ColdInterval,
       Now + std::chrono::duration_cast<nanoseconds>(
                 Interval * entryPhase(State) * std::max(0.0, 1 - Share)));
 }
@@ -415,7 +416,7 @@
     candidate &Candidate = Candidates[Rank];
     target_state &State = *Candidate.State;
     State.ColdInterval = nanoseconds(0);
-    if (State.ColdUntil > Now) {
+    if (target_registry::isCold(State, Now)) {
       scheduleColdSends(State, *Query.Service, Now);
       if (State.NextColdSend > Now) {
         Best.NextColdSend = std::min(Best.NextColdSend, State.NextColdSend);
@@ -497,7 +498,8 @@
   ProcessingTimes.recordAnswer(Query.Route->Name, Now);
   const nanoseconds MeasuredTime =
       std::max<nanoseconds>(Latency - roundTrip(State->Region), nanoseconds(1));
-  if (Chosen.ExpectedWait == nanoseconds(0) && State->ColdUntil <= Now) {
+  if (Chosen.ExpectedWait == nanoseconds(0) &&
+      !target_registry::isCold(*State, Now)) {
     // A slowdown that the target reports itself is no lasting property of it.
     Registry.recordLatencyRatio(
         Chosen.Id, ProcessingTimes.ratioToExpected(*Query.Route, Chosen.Warm,
