--- a/tests/unit-gateway-freshness.cpp
+++ b/tests/unit-gateway-freshness.cpp
@@ -131,7 +131,8 @@
   install("7", 5);
   State.noteOtherState({8, 9, std::nullopt});
   metrics::registry Metrics;
-  gateway::detail::updateGauges(Metrics, {TargetRegistry, State, {}, 1},
+  const placement::placer Placer(TargetRegistry, base::region_name("north"));
+  gateway::detail::updateGauges(Metrics, {TargetRegistry, Placer, State, {}, 1},
                                 Now + 2s);
   const std::string Text = Metrics.render();
   for (const char *Line :
