--- a/src/net/detail/session.cpp
+++ b/src/net/detail/session.cpp
@@ -286,7 +286,8 @@
 void session::onEvicted() {
   if (Lingering || !Socket.is_open())
     return;
-  if (ReadCharge && ReadCharge->isEvicted())
+  // Nothing more is answered behind the last response.
+  if (ReadCharge && ReadCharge->isEvicted() && Reading != read_state::Ended)
     return reject(503, NoMemoryReason);
   if (std::any_of(Line.begin(), Line.end(),
                   [](const auto &Request) { return Request->isEvicted(); }))
