Charge the header of a held body, and refuse before the header is released

A header whose body waits for earlier responses was charged only when its body was read. A request that finds no room at its end lost its id in the refusal.

--- a/src/net/detail/session.cpp
+++ b/src/net/detail/session.cpp
@@ -324,6 +324,9 @@
     return rejectUnreadable(make_error_code(bhttp::error::body_limit));
   if (mayReadBody())
     return startBody();
+  if (!ReadCharge->resize(Buffer.max_size() + HeaderBytes,
+                          base::boot_clock::now()))
+    return reject(503, NoMemoryReason);
   Reading = read_state::HeldBody;
   watch();
 }
@@ -399,15 +402,17 @@
 void session::onBody(const error_code &Failure) {
   if (Failure)
     return rejectUnreadable(Failure);
+  const auto Now = base::boot_clock::now();
+  const std::size_t BodyBytes = Parser->get().body().allocatedBytes();
+  if (!ReadCharge->resize(HeaderBytes + BodyBytes, Now))
+    return reject(503, NoMemoryReason);
   const bool KeepAlive = Parser->keep_alive();
   const bool Chunked = Parser->chunked();
   auto Received = Parser->release();
   http_request Message(std::move(Received.base()), Received.body().take());
   if (Chunked)
     Message.base() = std::move(Header);
-  const auto Now = base::boot_clock::now();
-  if (!ReadCharge->resize(HeaderBytes + Message.body().capacity(), Now))
-    return reject(503, NoMemoryReason);
+  ReadCharge->resize(HeaderBytes + Message.body().capacity(), Now);
   if (Line.empty())
     Timer.cancel();
   Reading = KeepAlive ? read_state::Waiting : read_state::Ended;
--- a/tests/unit-net-memory-account.cpp
+++ b/tests/unit-net-memory-account.cpp
@@ -135,6 +135,7 @@
     const auto Account = std::make_shared<memory_account>(Limit);
     base::boot_time Now{100s};
     std::vector<std::unique_ptr<holder>> Holders;
+    Holders.reserve(20);
     for (int I = 0; I < 20; ++I)
       Holders.push_back(
           std::make_unique<holder>(Account, std::string(1, 'a' + I % 3), Now));
