--- a/src/gateway/detail/steering_state.cpp
+++ b/src/gateway/detail/steering_state.cpp
@@ -205,7 +205,7 @@
 /// Records what another entry has confirmed some time ago.
 void steering_state::confirmAt(std::optional<milliseconds> Age) {
   if (Age)
-    Freshness.confirm(Clock() - *Age);
+    Freshness.confirmByReport(Clock() - *Age);
 }
 
 void steering_state::noteStoreAvailable() {
@@ -274,7 +274,7 @@
   state_snapshot Snapshot;
   Snapshot.ConfirmedRevision = ConfirmedRevision;
   Snapshot.ChangeRevision = ChangeRevision;
-  Snapshot.Age = Freshness.age(Now);
+  Snapshot.Age = Freshness.reportedAge(Now);
   Snapshot.Document = Document;
   TargetRegistry.forEach([&](const placement::target_state &State) {
     Snapshot.Targets.push_back(toEncoded(State, Now));
@@ -296,7 +296,7 @@
   state_changes Changes;
   Changes.After = Revision;
   Changes.ConfirmedRevision = ConfirmedRevision;
-  Changes.Age = Freshness.age(Now);
+  Changes.Age = Freshness.reportedAge(Now);
   for (recorded_change &Recorded : Log.changesAfter(Revision)) {
     encoded_change Encoded{std::move(Recorded), milliseconds(0)};
     if (const auto *Removed =
--- a/src/gateway/detail/steering_state.hpp
+++ b/src/gateway/detail/steering_state.hpp
@@ -131,6 +131,11 @@
   std::optional<std::chrono::milliseconds> age(base::boot_time Now) const {
     return Freshness.age(Now);
   }
+  /// \return the same time as far as other entries may rely on it
+  std::optional<std::chrono::milliseconds>
+  reportedAge(base::boot_time Now) const {
+    return Freshness.reportedAge(Now);
+  }
 
   /// \brief Encodes the complete state as CBOR for another entry.
   std::string encodeSnapshot() const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -242,7 +242,7 @@
   Status.StoreReachable = !Watching || !State.isStoreDown();
   Status.ChangeRevision = State.changeRevision();
   Status.ConfigurationVersion = State.version();
-  Status.StateAge = State.age(Now);
+  Status.StateAge = State.reportedAge(Now);
   Status.Capacity = Lateness.usableFraction() *
                     std::min(RequestsPerCore * Settings.ProcessorCores,
                              RequestsPerMbit * Settings.LinkMbitPerSecond);
--- a/tests/unit-gateway-freshness.cpp
+++ b/tests/unit-gateway-freshness.cpp
@@ -139,3 +139,24 @@
         "skylarkdyke_config_age_seconds 2", "skylarkdyke_state_age_seconds 2"})
     STRCMP_CONTAINS(Line, Text.c_str());
 }
+
+// Guards against entries that make each other's state look more recent with
+// each message, because a report is older on arrival than it says: a silent
+// store would count as silent seconds late.
+TEST(gateway_freshness, AgesThatEntriesPassOnNeverShrink) {
+  static constexpr std::size_t Entries = 5;
+  static constexpr auto MessageTime = 40ms;
+  std::array<gateway::detail::state_freshness, Entries> Ages;
+  const auto ConfirmedAt = Now;
+  Ages[0].confirm(ConfirmedAt);
+  for (int Round = 0; Round < 400; ++Round) {
+    const std::size_t From = static_cast<std::size_t>(Round) % Entries;
+    const auto Reported = Ages.at(From).reportedAge(Now);
+    Now += MessageTime;
+    for (std::size_t To = 0; Reported && To < Entries; ++To)
+      if (To != From)
+        Ages.at(To).confirmByReport(Now - *Reported);
+  }
+  for (const auto &Age : Ages)
+    CHECK(*Age.age(Now) + MessageTime >= Now - ConfirmedAt);
+}
