--- a/include/skylarkdyke/placement/target_registry.hpp
+++ b/include/skylarkdyke/placement/target_registry.hpp
@@ -85,9 +85,13 @@
   /// Time until which the target is cold, for example after its start: it
   /// tolerates only routing::service::ColdRequestsPerSecond.
   base::boot_time ColdUntil{};
+  /// Time until which the target may be cold, because it has not said yet that
+  /// it is not: it gets requests as if it were.
+  base::boot_time MayBeColdUntil{};
   /// NextColdSend has been set since the target became cold.
   bool ColdSendScheduled = false;
-  /// Earliest time of the next send while the target is cold.
+  /// Earliest time of the next send while the target is cold; the time of the
+  /// latest send while it is not.
   base::boot_time NextColdSend{};
   /// Interval between sends that keeps this entry's share of the rate of a cold
   /// target; 0 while the target is not cold.
@@ -175,6 +179,13 @@
   bool recordCold(const target_incarnation &Target, base::boot_time Until,
                   base::boot_time Now);
 
+  /// \brief Records that a target may be cold until a time, because it is late
+  /// to say whether it is.
+  /// \param Until now or earlier if it has said that it is not cold
+  /// \return true if that is news for other entries too
+  bool recordMayBeCold(const target_incarnation &Target, base::boot_time Until,
+                       base::boot_time Now);
+
   /// \brief Records the load that the target reported with an answer.
   void recordReportedLoad(const base::target_id &Id, const reported_load &Load,
                           base::boot_time Now);
@@ -196,6 +207,11 @@
   /// requests now: it leaves and its time of use has passed, or it pauses.
   static bool declinesRequests(const target_state &State, base::boot_time Now);
 
+  /// \brief Whether a target tolerates only its cold rate, as far as is known.
+  static bool isCold(const target_state &State, base::boot_time Now) {
+    return State.ColdUntil > Now || State.MayBeColdUntil > Now;
+  }
+
   /// \brief Whether new requests may be sent to a target: it is not draining,
   /// evacuated or removed, it does not decline requests, and its address is not
   /// known to be wrong.
--- a/src/gateway/detail/cold_watch.cpp
+++ b/src/gateway/detail/cold_watch.cpp
@@ -16,6 +16,11 @@
 static constexpr milliseconds SilentAge{3000};
 static constexpr milliseconds ConnectTimeout{300};
 static constexpr milliseconds CheckTimeout{900};
+/// Time after which a response is late.
+static constexpr milliseconds MaxCheckTime{200};
+/// Time for which a target may be cold that is late; the next check is late
+/// before it ends.
+static constexpr milliseconds MayBeColdTime{2000};
 /// Longest cold time that a target may state.
 static constexpr milliseconds MaxColdTime{std::chrono::minutes(10)};
 
@@ -32,6 +37,12 @@
       std::min(Count, static_cast<double>(MaxColdTime.count()))));
 }
 
+bool tellsColdTime(const net::http_response &Response,
+                   const header_names &Headers, const base::target_id &Target) {
+  return Response[Headers.TargetId] == Target.str() &&
+         Response.count(Headers.NotExecuted) == 0;
+}
+
 cold_watch::cold_watch(const header_names &Headers, steering_state &State,
                        placement::target_registry &TargetRegistry,
                        channel_pool &Pool, metrics::registry &Metrics,
@@ -69,6 +80,7 @@
 void cold_watch::tick(const std::vector<checker> &Others, base::boot_time Now) {
   if (!isStoreSilent(Now))
     return;
+  reportLateChecks(Now);
   TargetRegistry.forEach([&](const placement::target_state &Target) {
     if (!needsCheck(Target, Now))
       return;
@@ -80,6 +92,27 @@
   });
 }
 
+void cold_watch::reportLateChecks(base::boot_time Now) {
+  for (const auto &[Id, Check] : Pending) {
+    const placement::target_state *Target = TargetRegistry.find(Id);
+    if (Target != nullptr && Check.LateAt <= Now &&
+        Target->MayBeColdUntil < Now + MayBeColdTime / 2)
+      reportMayBeCold(Check.Target, MayBeColdTime, Now);
+  }
+}
+
+/// \param Time for which the target may be cold; zero if it is not
+void cold_watch::reportMayBeCold(const placement::target_incarnation &Target,
+                                 milliseconds Time, base::boot_time Now) {
+  if (!State.recordCold({Target, Now + Time, cold_finding::MayBeCold}))
+    return;
+  SKYLARKDYKE_DECISION(Log, TargetCold, Now,
+                       {{"target", Target.Id.str()},
+                        {"source", "check"},
+                        {"confirmed", false},
+                        {"cold_ms", nanoseconds(Time)}});
+}
+
 void cold_watch::check(const placement::target_state &Target,
                        const routing::service &Service, base::boot_time Now) {
   const placement::target_incarnation Checked =
@@ -91,7 +124,8 @@
   Request.set(Headers.RequestId, Id);
   Request.set(Headers.ExpectedTarget, Checked.Id.str());
   Request.set(Headers.Deadline, std::to_string(CheckTimeout.count()));
-  Pending.insert(Checked.Id);
+  Pending.insert_or_assign(Checked.Id,
+                           pending_check{Checked, Now + MaxCheckTime});
   Metrics
       .counter("skylarkdyke_cold_checks_total",
                "Health checks while the store is silent", {})
@@ -106,21 +140,24 @@
       [this, Checked, Channel](const net::call_result &Result) {
         Pending.erase(Checked.Id);
         Pool.release(Checked.Id, Channel, 1, base::boot_clock::now());
-        onResponse(Checked, Result);
+        onResult(Checked, Result);
       });
 }
 
-void cold_watch::onResponse(const placement::target_incarnation &Target,
-                            const net::call_result &Result) {
-  if (!Result)
-    return;
+void cold_watch::onResult(const placement::target_incarnation &Target,
+                          const net::call_result &Result) {
+  const auto Now = State.now();
+  if (!Result || !tellsColdTime(Result.value(), Headers, Target.Id))
+    return reportMayBeCold(Target, MayBeColdTime, Now);
   const auto ColdFor = readColdTime(Result.value(), Headers, Target.Id);
-  const auto Now = base::boot_clock::now();
-  if (!ColdFor || !State.recordCold({Target, Now + *ColdFor}))
+  if (!ColdFor)
+    return reportMayBeCold(Target, milliseconds(0), Now);
+  if (!State.recordCold({Target, Now + *ColdFor, cold_finding::Cold}))
     return;
   SKYLARKDYKE_DECISION(Log, TargetCold, Now,
                        {{"target", Target.Id.str()},
                         {"source", "check"},
+                        {"confirmed", true},
                         {"cold_ms", nanoseconds(*ColdFor)}});
 }
 
--- a/src/gateway/detail/cold_watch.hpp
+++ b/src/gateway/detail/cold_watch.hpp
@@ -9,9 +9,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -24,12 +24,22 @@
 readColdTime(const net::http_response &Response, const header_names &Headers,
              const base::target_id &Target);
 
+/// \brief Returns whether a health check was handled by the target, so that the
+/// lack of a cold time means that it is not cold. A full target rejects the
+/// check, as any other request.
+bool tellsColdTime(const net::http_response &Response,
+                   const header_names &Headers, const base::target_id &Target);
+
 /// \brief Finds out which targets have become cold while the store is silent.
 ///
 /// A target may become cold at any time, for example when an evacuation ends.
 /// The store tells so; while it does not answer, only the targets do, in their
 /// responses to health checks. One entry checks a target and tells the others,
 /// because a cold target tolerates few requests, checks included.
+///
+/// A check waits for a slot of the target, so that a full target, which gets
+/// the most requests, answers last. A target that is late counts as one that
+/// may be cold until it has answered a check.
 class cold_watch {
 public:
   /// An entry that may check targets.
@@ -55,10 +65,13 @@
                  const std::vector<checker> &Others) const;
   bool needsCheck(const placement::target_state &Target,
                   base::boot_time Now) const;
+  void reportLateChecks(base::boot_time Now);
+  void reportMayBeCold(const placement::target_incarnation &Target,
+                       std::chrono::milliseconds Time, base::boot_time Now);
   void check(const placement::target_state &Target,
              const routing::service &Service, base::boot_time Now);
-  void onResponse(const placement::target_incarnation &Target,
-                  const net::call_result &Result);
+  void onResult(const placement::target_incarnation &Target,
+                const net::call_result &Result);
 
   const header_names &Headers;
   steering_state &State;
@@ -67,8 +80,13 @@
   metrics::registry &Metrics;
   telemetry::decision_log &Log;
   checker Own;
-  /// Targets whose check has no response yet.
-  std::set<base::target_id> Pending;
+  struct pending_check {
+    placement::target_incarnation Target;
+    /// Time from which the response is late.
+    base::boot_time LateAt;
+  };
+  /// Checks that have no response yet.
+  std::map<base::target_id, pending_check> Pending;
   std::uint64_t CheckCount = 0;
 };
 
--- a/src/gateway/detail/state_codec.cpp
+++ b/src/gateway/detail/state_codec.cpp
@@ -203,7 +203,8 @@
 std::string encode(const cold_update &Update) {
   return toCbor({ColdKind, Update.Target.Id.str(),
                  base::toString(Update.Target.Address),
-                 Update.Target.StartedAtMs, Update.ColdFor.count()});
+                 Update.Target.StartedAtMs, Update.ColdFor.count(),
+                 Update.Finding == cold_finding::MayBeCold});
 }
 
 static cold_update coldUpdateFromJson(const json &Message) {
@@ -213,6 +214,9 @@
                               .value_or(base::endpoint());
   Update.Target.StartedAtMs = Message.at(3);
   Update.ColdFor = timeFromJson(Message.at(4));
+  // Entries of earlier versions send no sixth field.
+  if (Message.size() > 5 && Message.at(5).get<bool>())
+    Update.Finding = cold_finding::MayBeCold;
   return Update;
 }
 
--- a/src/gateway/detail/state_codec.hpp
+++ b/src/gateway/detail/state_codec.hpp
@@ -67,10 +67,22 @@
   std::vector<encoded_leaving> LeavingTargets;
 };
 
-/// \brief A target that an entry has just learned to be cold.
+/// \brief What is known of the cold time of a target.
+enum class cold_finding {
+  /// The target has said that it is cold.
+  Cold,
+  /// The target is late to say whether it is cold, or has said that it is not
+  /// after it was late.
+  MayBeCold,
+};
+
+/// \brief A target that an entry has just learned to be cold, or to be late to
+/// say so.
 struct cold_update {
   placement::target_incarnation Target;
+  /// Zero if a target that was late is not cold.
   std::chrono::milliseconds ColdFor{0};
+  cold_finding Finding = cold_finding::Cold;
 };
 
 using state_message = std::variant<state_snapshot, state_changes,
--- a/src/gateway/detail/steering_state.cpp
+++ b/src/gateway/detail/steering_state.cpp
@@ -232,8 +232,16 @@
   return true;
 }
 
+bool steering_state::recordInRegistry(const cold_notice &Notice,
+                                      base::boot_time Now) {
+  return Notice.Finding == cold_finding::Cold
+             ? TargetRegistry.recordCold(Notice.Target, Notice.ColdUntil, Now)
+             : TargetRegistry.recordMayBeCold(Notice.Target, Notice.ColdUntil,
+                                              Now);
+}
+
 bool steering_state::recordCold(const cold_notice &Notice) {
-  if (!TargetRegistry.recordCold(Notice.Target, Notice.ColdUntil, Clock()))
+  if (!recordInRegistry(Notice, Clock()))
     return false;
   if (OnCold)
     OnCold(Notice, false);
@@ -242,12 +250,13 @@
 
 void steering_state::adopt(const cold_update &Update) {
   const auto Now = Clock();
-  const cold_notice Notice{Update.Target, Now + Update.ColdFor};
-  if (!TargetRegistry.recordCold(Notice.Target, Notice.ColdUntil, Now))
+  const cold_notice Notice{Update.Target, Now + Update.ColdFor, Update.Finding};
+  if (!recordInRegistry(Notice, Now))
     return;
   SKYLARKDYKE_LOG(INFO, TargetCold)
-      << "target=" << Update.Target.Id.str()
-      << " source=entry cold_ms=" << Update.ColdFor.count();
+      << "target=" << Update.Target.Id.str() << " source=entry confirmed="
+      << (Update.Finding == cold_finding::Cold)
+      << " cold_ms=" << Update.ColdFor.count();
   if (OnCold)
     OnCold(Notice, true);
 }
--- a/src/gateway/detail/steering_state.hpp
+++ b/src/gateway/detail/steering_state.hpp
@@ -27,10 +27,11 @@
   std::optional<std::chrono::milliseconds> Age;
 };
 
-/// \brief A target has said that it is cold.
+/// \brief A target has said that it is cold, or is late to say so.
 struct cold_notice {
   placement::target_incarnation Target;
   base::boot_time ColdUntil;
+  cold_finding Finding = cold_finding::Cold;
 };
 
 /// \brief Configuration, targets and evacuated failure domains, as received
@@ -74,7 +75,8 @@
   /// health check or a message of another entry.
   void setColdCallback(cold_callback Callback) { OnCold = std::move(Callback); }
 
-  /// \brief Records that a target has said that it is cold.
+  /// \brief Records that a target has said that it is cold, or is late to say
+  /// so.
   /// \return true if it was not known to be
   bool recordCold(const cold_notice &Notice);
 
@@ -121,6 +123,8 @@
   std::uint64_t version() const { return Routes ? Routes->version() : 0; }
   /// \return newest configuration version that is known to exist
   std::uint64_t newestVersion() const { return Freshness.newestVersion(); }
+  /// \return the time by the clock of this state
+  base::boot_time now() const { return Clock(); }
   /// \return time since the version in force was installed; zero before the
   /// first
   std::chrono::nanoseconds configurationAge(base::boot_time Now) const {
@@ -168,6 +172,7 @@
   void adopt(const state_changes &Changes);
   void confirmAt(std::optional<std::chrono::milliseconds> Age);
   void applyChange(const routing::store_change &Change);
+  bool recordInRegistry(const cold_notice &Notice, base::boot_time Now);
   void adopt(const cold_update &Update);
   void adoptLeaving(const std::vector<encoded_leaving> &Targets, bool PassOn);
 
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -217,7 +217,8 @@
 /// Sets the interval between sends to a cold target. The first send of an entry
 /// is delayed by a fraction of that interval, which grows as the entry's share
 /// of the rate shrinks: otherwise all entries would send as soon as they
-/// discover the target.
+/// discover the target. It also keeps the interval from the latest send, which
+/// may have reached the target when it was cold already.
 void placer::scheduleColdSends(target_state &State,
                                const routing::service &Service,
                                base::boot_time Now) const {
@@ -230,7 +231,7 @@
     return;
   State.ColdSendScheduled = true;
   State.NextColdSend = std::max(
-      State.NextColdSend,
+      State.NextColdSend + State.ColdInterval,
       Now + std::chrono::duration_cast<nanoseconds>(
                 Interval * entryPhase(State) * std::max(0.0, 1 - Share)));
 }
@@ -367,7 +368,7 @@
     candidate &Candidate = Candidates[Rank];
     target_state &State = *Candidate.State;
     State.ColdInterval = nanoseconds(0);
-    if (State.ColdUntil > Now) {
+    if (target_registry::isCold(State, Now)) {
       scheduleColdSends(State, *Query.Service, Now);
       if (State.NextColdSend > Now) {
         Best.NextColdSend = std::min(Best.NextColdSend, State.NextColdSend);
@@ -441,7 +442,8 @@
     return;
   const nanoseconds MeasuredTime =
       std::max<nanoseconds>(Latency - roundTrip(State->Region), nanoseconds(1));
-  if (Chosen.ExpectedWait == nanoseconds(0) && State->ColdUntil <= Now) {
+  if (Chosen.ExpectedWait == nanoseconds(0) &&
+      !target_registry::isCold(*State, Now)) {
     Registry.recordLatencyRatio(
         Chosen.Id, ProcessingTimes.ratioToExpected(*Query.Route, Chosen.Warm,
                                                    MeasuredTime));
--- a/src/placement/target_registry.cpp
+++ b/src/placement/target_registry.cpp
@@ -108,9 +108,28 @@
   return true;
 }
 
+bool target_registry::recordMayBeCold(const target_incarnation &Target,
+                                      base::boot_time Until,
+                                      base::boot_time Now) {
+  target_state *State = findIncarnation(Target);
+  if (State == nullptr)
+    return false;
+  const bool MayBeCold = State->MayBeColdUntil > Now;
+  if (Until <= Now) {
+    State->MayBeColdUntil = Now;
+    return MayBeCold;
+  }
+  if (Until <= State->MayBeColdUntil + ColdTimeTolerance)
+    return false;
+  if (!isCold(*State, Now))
+    State->ColdSendScheduled = false;
+  State->MayBeColdUntil = Until;
+  return true;
+}
+
 void target_registry::markCold(target_state &State, base::boot_time Until,
                                base::boot_time Now) {
-  if (State.ColdUntil <= Now)
+  if (!isCold(State, Now))
     State.ColdSendScheduled = false;
   State.ColdUntil = Until;
 }
@@ -321,7 +340,7 @@
 std::size_t target_registry::coldCount(base::boot_time Now) const {
   return static_cast<std::size_t>(
       std::count_if(States.begin(), States.end(), [Now](const auto &Entry) {
-        return Entry.second->ColdUntil > Now;
+        return isCold(*Entry.second, Now);
       }));
 }
 
--- a/tests/unit-gateway-cold-watch.cpp
+++ b/tests/unit-gateway-cold-watch.cpp
@@ -23,6 +23,7 @@
   Headers.ExpectedTarget = "Expected";
   Headers.TargetId = "Target";
   Headers.ColdTimeLeft = "Cold";
+  Headers.NotExecuted = "NotExecuted";
   return Headers;
 }
 
@@ -52,17 +53,31 @@
   std::string ColdMs = "20000";
   std::string TargetId = "i-1";
   int Checks = 0;
+  bool Full = false;
+  bool Rejects = false;
+  /// Checks that wait for a slot of the full target.
+  std::vector<std::shared_ptr<net::pending_request>> Waiting;
   net::http_server Target{
       Loop, 10, [] { return base::message_limits(); },
       [this](const std::shared_ptr<net::pending_request> &Request) {
         ++Checks;
-        auto Response = net::makeResponse(200);
-        Response.set("Id", Request->request()["Id"]);
-        Response.set("Target", TargetId);
-        Response.set("Cold", ColdMs);
-        Request->answer(std::move(Response));
+        if (Full)
+          Waiting.push_back(Request);
+        else
+          answer(Request);
       }};
 
+  void answer(const std::shared_ptr<net::pending_request> &Request) {
+    auto Response = net::makeResponse(Rejects ? 503 : 200);
+    Response.set("Id", Request->request()["Id"]);
+    Response.set("Target", TargetId);
+    if (Rejects)
+      Response.set("NotExecuted", "1");
+    else
+      Response.set("Cold", ColdMs);
+    Request->answer(std::move(Response));
+  }
+
   void setup() override {
     Target.listen(Address);
     State.apply(routing::configuration_published{"7"}, 1);
@@ -75,6 +90,7 @@
     State.confirmRevision(2);
   }
   void teardown() override {
+    Waiting.clear();
     Target.stopAccepting();
     Pool.closeIdle(Id);
     Loop.restart();
@@ -89,6 +105,7 @@
     Loop.run_for(100ms);
   }
   bool isCold() { return TargetRegistry.find(Id)->ColdUntil > Now; }
+  bool mayBeCold() { return TargetRegistry.find(Id)->MayBeColdUntil > Now; }
   cold_watch watchOf(const cold_watch::checker &Entry) {
     return {Headers, State, TargetRegistry, Pool, Metrics, Log, Entry};
   }
@@ -168,3 +185,62 @@
   OtherState.adoptState(Messages[0]);
   CHECK(OtherRegistry.find(Id)->ColdUntil == base::boot_time{});
 }
+
+// Guards against a full target that becomes cold and gets the load of a warm
+// one until it answers a check, which waits for a slot behind that load.
+TEST(gateway_cold_watch, ATargetThatIsLateMayBeCold) {
+  std::vector<std::string> Messages;
+  State.setColdCallback([&](const gateway::detail::cold_notice &Notice, bool) {
+    Messages.push_back(gateway::detail::encode(gateway::detail::cold_update{
+        Notice.Target,
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::max(Notice.ColdUntil, Now) - Now),
+        Notice.Finding}));
+  });
+  placement::target_registry OtherRegistry{{{Domain, Region}}};
+  gateway::detail::steering_state OtherState{OtherRegistry, decode, 2s,
+                                             [this] { return Now; }};
+  CHECK(OtherState.adoptState(State.encodeSnapshot()));
+  const auto IsLimitedElsewhere = [&] {
+    return placement::target_registry::isCold(*OtherRegistry.find(Id), Now);
+  };
+  Now += 4s;
+  Full = true;
+  ColdMs = "0";
+  cold_watch Watch = watchOf(Own);
+  check(Watch);
+  CHECK(!mayBeCold());
+  Now += 250ms;
+  check(Watch);
+  LONGS_EQUAL(1, Checks);
+  CHECK(mayBeCold());
+  LONGS_EQUAL(1, Messages.size());
+  OtherState.adoptState(Messages[0]);
+  CHECK(IsLimitedElsewhere());
+  answer(Waiting[0]);
+  Loop.restart();
+  Loop.run_for(100ms);
+  CHECK(!mayBeCold());
+  LONGS_EQUAL(2, Messages.size());
+  OtherState.adoptState(Messages[1]);
+  CHECK(!IsLimitedElsewhere());
+}
+
+// Guards against a full target that counts as warm because it rejects the check
+// or does not answer it.
+TEST(gateway_cold_watch, ATargetThatRejectsACheckMayBeCold) {
+  Now += 4s;
+  Rejects = true;
+  cold_watch Watch = watchOf(Own);
+  check(Watch);
+  CHECK(mayBeCold());
+  CHECK(!isCold());
+  Rejects = false;
+  ColdMs = "0";
+  check(Watch);
+  CHECK(!mayBeCold());
+  Target.stopAccepting();
+  Pool.closeIdle(Id);
+  check(Watch);
+  CHECK(mayBeCold());
+}
--- a/tests/unit-placement-placer.cpp
+++ b/tests/unit-placement-placer.cpp
@@ -192,6 +192,42 @@
   CHECK(Sent <= 1.5 * Service.ColdRequestsPerSecond + 5);
 }
 
+// Guards against sends to a target that has become cold unnoticed, if they go
+// on as soon as the entries learn of it: those of the half second before count
+// too. The bound is 1.5 times the tolerated rate plus 5.
+TEST(placement_placer, SendsBeforeAColdTimeIsKnownCount) {
+  static constexpr unsigned OfferedPerSecond = 16;
+  for (unsigned Entries = 1; Entries <= 6; ++Entries)
+    for (std::uint64_t Seed = 0; Seed < 20; ++Seed) {
+      int Sent = 0;
+      for (unsigned I = 0; I < Entries; ++I) {
+        placement::target_registry EntryRegistry{{{NorthA, North}}};
+        EntryRegistry.upsert(makeTarget("a", NorthA), Now);
+        placement::placer Entry{EntryRegistry, North};
+        placement::cold_rate_share ColdRateShare;
+        ColdRateShare.DemandShare["stock"] = 1.0 / Entries;
+        ColdRateShare.RegionsWithEntries = {North};
+        ColdRateShare.EntrySeed = (Seed * Entries + I) * 0x9E3779B97F4A7C15U;
+        Entry.setColdRateShare(ColdRateShare);
+        const nanoseconds Pause = nanoseconds(1s) / OfferedPerSecond;
+        for (nanoseconds Time = Pause * I; Time < 1s; Time += Pause * Entries) {
+          if (Time >= 500ms)
+            EntryRegistry.recordCold(
+                placement::incarnationOf(makeTarget("a", NorthA)), Now + 60s,
+                Now + Time);
+          const auto Result = Entry.choose(query(1), Now + Time);
+          if (!std::holds_alternative<placement::chosen_target>(Result))
+            continue;
+          ++Sent;
+          EntryRegistry.beginSend(base::target_id("a"), Now + Time);
+          EntryRegistry.endSend(base::target_id("a"), send_result::Answered,
+                                0ms, Now + Time);
+        }
+      }
+      CHECK(Sent <= 1.5 * Service.ColdRequestsPerSecond + 5);
+    }
+}
+
 // Guards against a target that fails fast and, because it is always free,
 // attracts all traffic.
 TEST(placement_placer, FailingTargetIsEjected) {
