--- a/src/gateway/detail/mesh_link.cpp
+++ b/src/gateway/detail/mesh_link.cpp
@@ -245,11 +245,11 @@
 void mesh_link::publishCold(const cold_notice &Notice, bool PassedOn) {
   const auto Now = base::boot_clock::now();
   if (!PassedOn || Members.sendsDigests())
-    publishToOthers(encode(cold_update{
-        Notice.Target,
-        std::chrono::duration_cast<milliseconds>(
-            std::max(Notice.ColdUntil, Now) - Now),
-        Notice.Finding}));
+    publishToOthers(
+        encode(cold_update{Notice.Target,
+                           std::chrono::duration_cast<milliseconds>(
+                               std::max(Notice.ColdUntil, Now) - Now),
+                           Notice.Finding}));
 }
 
 /// Sends a message to the entries that are told of news at once.
--- a/src/gateway/detail/steering_state.cpp
+++ b/src/gateway/detail/steering_state.cpp
@@ -254,8 +254,8 @@
   if (!recordInRegistry(Notice, Now))
     return;
   SKYLARKDYKE_LOG(INFO, TargetCold)
-      << "target=" << Update.Target.Id.str() << " source=entry confirmed="
-      << (Update.Finding == cold_finding::Cold)
+      << "target=" << Update.Target.Id.str()
+      << " source=entry confirmed=" << (Update.Finding == cold_finding::Cold)
       << " cold_ms=" << Update.ColdFor.count();
   if (OnCold)
     OnCold(Notice, true);
