--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -4,6 +4,7 @@
 #include "gateway/detail/target_signals.hpp"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <cstdio>
 #include <cstdlib>
 #include <utility>
@@ -30,6 +31,9 @@
 /// request is rejected immediately.
 static constexpr unsigned MaxColdWaits = 3;
 static constexpr milliseconds MaxColdWait{150};
+/// Period in which a request that waits for a free slot of one target looks for
+/// another target.
+static constexpr milliseconds SlotCheckPeriod{50};
 /// Retry delay given to callers whose request arrives late in a stop; other
 /// entries serve them.
 static constexpr milliseconds StopRetryAfter{50};
@@ -48,7 +52,11 @@
     if (const auto Exchange = Weak.lock())
       Exchange->onCallerDisconnected();
   });
-  Self->selectTarget();
+  Self->Caller->awaitTurn(Self->Query.Route->Repeatability ==
+                                  routing::repeatability::Idempotent
+                              ? net::request_concurrency::Shared
+                              : net::request_concurrency::Exclusive,
+                          [Self] { Self->acquireQuota(); });
 }
 
 exchange::exchange(steering_context &Context,
@@ -87,6 +95,8 @@
     respondWithError(404, "no_route", std::nullopt);
     return false;
   }
+  if (!resolveTeam())
+    return false;
   if (isBlocked()) {
     refuseBlocked();
     return false;
@@ -121,12 +131,42 @@
     Query.Deadline = std::min(Query.Deadline, Context.Stop->RespondBy);
 }
 
+/// Counts the request in the quota of its team, if that has one, and places it.
+void exchange::acquireQuota() {
+  if (Query.Team == nullptr || !Query.Team->Quota)
+    return selectTarget();
+  Context.Quotas.acquire(*Query.Team, [Self = shared_from_this()](
+                                          const quota_service::result &Result) {
+    Self->onQuotaResult(Result);
+  });
+}
+
+void exchange::onQuotaResult(const quota_service::result &Result) {
+  if (const auto *Token = std::get_if<quotas::token>(&Result))
+    QuotaToken = *Token;
+  if (Done)
+    return giveBackQuota();
+  if (QuotaToken)
+    return selectTarget();
+  respondWithError(429, "quota_exceeded",
+                   std::get<quotas::denial>(Result).RetryAfter);
+}
+
+void exchange::giveBackQuota() {
+  if (QuotaToken)
+    Context.Quotas.giveBack(*QuotaToken);
+  QuotaToken.reset();
+}
+
 void exchange::selectTarget() {
+  stopWaitingForSlot();
   // A late event loop may not have told yet.
   if (Caller->hasCallerDisconnected())
     return onCallerDisconnected();
   if (isBlocked())
     return refuseBlocked();
+  if (hasLostPermission())
+    return refuseLostPermission();
   const auto Now = base::boot_clock::now();
   if (Now + MinTimeToSend >= Query.Deadline) {
     if (!hasRunningAttempt())
@@ -136,6 +176,8 @@
   const auto Choice = Context.Placer.choose(Query, Now);
   if (const auto *NoTargetResult = std::get_if<placement::no_target>(&Choice))
     return onNoTarget(*NoTargetResult);
+  if (const auto *Wait = std::get_if<placement::slot_wait>(&Choice))
+    return waitForSlot(*Wait);
   send(std::get<placement::chosen_target>(Choice));
 }
 
@@ -159,6 +201,43 @@
                        [Self = shared_from_this()] { Self->selectTarget(); });
 }
 
+void exchange::waitForSlot(const placement::slot_wait &Wait) {
+  if (hasRunningAttempt())
+    return;
+  Context.Metrics
+      .counter("skylarkdyke_slot_waits_total",
+               "Waits for a free slot of a target, by service",
+               {{"service", Query.Service->Name.str()}})
+      .add();
+  SlotWait = Wait;
+  SlotWait->Place = Context.Placer.waitingRequests().add(
+      Wait.Target, Wait.Place, [Weak = weak_from_this()] {
+        if (const auto Exchange = Weak.lock())
+          Exchange->selectTarget();
+      });
+  NextAttemptTimer.set(
+      std::min(Wait.Until, base::boot_clock::now() + SlotCheckPeriod),
+      [Self = shared_from_this()] { Self->selectTarget(); });
+}
+
+void exchange::stopWaitingForSlot() {
+  if (!SlotWait)
+    return;
+  NextAttemptTimer.cancel();
+  Context.Placer.waitingRequests().remove(SlotWait->Target, SlotWait->Place);
+  SlotWait.reset();
+}
+
+/// Lets the next request that waits for a target try again, once the current
+/// event has been handled.
+void exchange::wakeWaitingRequest(const base::target_id &Target) {
+  if (!Context.Placer.waitingRequests().hasWaiting(Target))
+    return;
+  boost::asio::post(Context.Loop, [&Context = Context, Target] {
+    Context.Placer.waitingRequests().wakeFirst(Target);
+  });
+}
+
 void exchange::onNoTarget(const placement::no_target &NoTargetResult) {
   if (hasRunningAttempt())
     return;
@@ -190,7 +269,9 @@
   const auto Self = shared_from_this();
   const std::size_t Index = Attempts.size() - 1;
   Channel->callStreaming(
-      toTargetRequest(Caller->request(), Context.Headers, Chosen.Id, TimeLeft),
+      targetRequest(Chosen.Id, TimeLeft),
+      // All attempts send the bytes that the request holds.
+      std::shared_ptr<const std::string>(Caller, &Caller->request().body()),
       {Now + ConnectTimeout, Query.Deadline, sendCheck(Chosen)},
       {[Self, Index, IsFirst = !Channel->isOpen()](
            const net::http_response_head &Head, bool Complete) mutable {
@@ -204,12 +285,16 @@
   scheduleHedge(Attempts.back());
 }
 
-/// Returns a check whether a target still wants the request once the connection
-/// to it is open, which states the time that is left by then.
+/// Returns a check whether the request is still permitted and wanted by its
+/// target once the connection to that is open. It states the time that is left
+/// by then.
 std::function<bool(net::http_request &)>
 exchange::sendCheck(const placement::chosen_target &Chosen) const {
-  return [&Context = Context, Id = Chosen.Id,
+  return [&Context = Context, Weak = weak_from_this(), Id = Chosen.Id,
           Deadline = Query.Deadline](net::http_request &Request) {
+    const auto Exchange = Weak.lock();
+    if (Exchange && Exchange->hasLostPermission())
+      return false;
     const auto Now = base::boot_clock::now();
     setTimeLeft(Request, Context.Headers,
                 std::chrono::duration_cast<milliseconds>(Deadline - Now));
@@ -260,6 +345,7 @@
 void exchange::onCallResult(std::size_t Index, net::call_result Result) {
   attempt &Attempt = Attempts[Index];
   Attempt.Running = false;
+  wakeWaitingRequest(Attempt.Chosen.Id);
   const auto Now = base::boot_clock::now();
   Context.Placer.recordRoundTrip(Attempt.Chosen.Id,
                                  Attempt.Channel->connectTime());
@@ -370,6 +456,7 @@
 
 void exchange::cancelRunningAttempts() {
   Done = true;
+  stopWaitingForSlot();
   NextAttemptTimer.cancel();
   for (std::size_t I = 0; I < Attempts.size(); ++I)
     if (Attempts[I].Running && !isRelayed(I))
@@ -381,6 +468,7 @@
     return;
   logRequest(0, "caller_gone");
   Done = true;
+  stopWaitingForSlot();
   NextAttemptTimer.cancel();
   // An attempt of a request that is not idempotent continues until its
   // response starts: if it were cancelled, it would be unknown whether the
@@ -414,6 +502,7 @@
 
 void exchange::respond(net::http_response Response, const char *Outcome) {
   Done = true;
+  stopWaitingForSlot();
   NextAttemptTimer.cancel();
   removeHopByHopHeaders(Response);
   logRequest(Response.result_int(), Outcome);
@@ -425,10 +514,15 @@
   net::http_response Response = net::makeResponse(Status, Reason + "\n");
   if (RetryAfter)
     setRetryAfter(Response, *RetryAfter);
+  if (Status == 401)
+    Response.set(bhttp::field::www_authenticate, "Bearer");
   const std::string RequestId = requestHeader(Context.Headers.RequestId);
   if (!RequestId.empty())
     Response.set(Context.Headers.RequestId, RequestId);
   LastFailureReason = Reason;
+  // This status says that the request has not run.
+  if (Status == 503)
+    giveBackQuota();
   respond(std::move(Response), Reason.c_str());
 }
 
--- a/src/gateway/detail/exchange.hpp
+++ b/src/gateway/detail/exchange.hpp
@@ -4,10 +4,12 @@
 #include "gateway/detail/channel_pool.hpp"
 #include "gateway/detail/crash_guard.hpp"
 #include "gateway/detail/demand_meter.hpp"
+#include "gateway/detail/quota_service.hpp"
 #include "gateway/detail/response_relay.hpp"
 #include "gateway/detail/send_outcome.hpp"
 #include "gateway/detail/steering_state.hpp"
 #include "gateway/detail/stop_schedule.hpp"
+#include "gateway/detail/team_labels.hpp"
 #include "gateway/detail/weighted_round_robin.hpp"
 #include "skylarkdyke/admission/retry_allowance.hpp"
 #include "skylarkdyke/metrics/registry.hpp"
@@ -15,6 +17,7 @@
 #include "skylarkdyke/net/one_shot_timer.hpp"
 #include "skylarkdyke/placement/placer.hpp"
 #include "skylarkdyke/poison/fingerprint.hpp"
+#include "skylarkdyke/routing/identification.hpp"
 #include "skylarkdyke/telemetry/decision_log.hpp"
 
 #include <limits>
@@ -40,6 +43,7 @@
   metrics::registry &Metrics;
   telemetry::decision_log &Log;
   crash_guard &Crashes;
+  quota_service &Quotas;
   weighted_round_robin ServiceSelector;
   demand_meter Demand;
   /// Number of entries that divide the connection limits of targets, this one
@@ -56,6 +60,7 @@
       std::make_shared<std::unordered_set<exchange *>>();
   /// Time after which a leaving target gets no requests.
   std::chrono::milliseconds DrainTime{2500};
+  team_labels TeamLabels = {};
 };
 
 /// \brief Handles one request: selects a target, forwards the request,
@@ -87,7 +92,16 @@
   };
 
   bool resolveRoute();
+  bool resolveTeam();
+  bool hasLostPermission() const;
+  void refuseLostPermission();
+  void respondToKeyFault(routing::key_fault Fault);
+  net::http_request targetRequest(const base::target_id &Target,
+                                  std::chrono::milliseconds TimeLeft) const;
   void readDeadline();
+  void acquireQuota();
+  void onQuotaResult(const quota_service::result &Result);
+  void giveBackQuota();
   void selectTarget();
   void onNoTarget(const placement::no_target &NoTargetResult);
   void send(const placement::chosen_target &Chosen);
@@ -108,6 +122,9 @@
   bool mayTryNextTarget(placement::send_result Result);
   bool tryAcquireRetry();
   void waitForColdTarget(std::chrono::nanoseconds Time);
+  void waitForSlot(const placement::slot_wait &Wait);
+  void stopWaitingForSlot();
+  void wakeWaitingRequest(const base::target_id &Target);
   void scheduleHedge(const attempt &Attempt);
   void onCallerDisconnected();
   void endForStop();
@@ -138,9 +155,13 @@
   placement::placement_query Query;
   /// Computed when it is first needed, because it takes the whole body.
   std::optional<poison::request_identity> Identity;
+  /// Counts the request in the quota of its team.
+  std::optional<quotas::token> QuotaToken;
   /// Delays an attempt while the rate limit of cold targets is reached; while
   /// an attempt runs, triggers the hedged attempt.
   net::one_shot_timer NextAttemptTimer;
+  /// Set while the request waits for a free slot of a target.
+  std::optional<placement::slot_wait> SlotWait;
   std::vector<attempt> Attempts;
   std::optional<net::http_response> TargetErrorResponse;
   /// Set while a response is sent on to the caller in pieces.
--- a/src/gateway/detail/gauges.cpp
+++ b/src/gateway/detail/gauges.cpp
@@ -15,6 +15,34 @@
   Metrics.gauge(Name, Help).set(std::chrono::duration<double>(Time).count());
 }
 
+static void setMemoryActions(metrics::registry &Metrics, const char *Action,
+                             std::uint64_t Count) {
+  Metrics
+      .gauge("skylarkdyke_caller_memory_actions",
+             "What the limit of the memory for callers has caused since the "
+             "start",
+             {{"action", Action}})
+      .set(static_cast<double>(Count));
+}
+
+void updateMemoryGauges(metrics::registry &Metrics,
+                        const net::memory_account &Memory,
+                        std::uint64_t ReplacedConnections) {
+  Metrics
+      .gauge("skylarkdyke_caller_memory_bytes",
+             "Memory held for callers, over all connections")
+      .set(static_cast<double>(Memory.heldBytes()));
+  Metrics
+      .gauge("skylarkdyke_caller_memory_limit_bytes",
+             "Limit of the memory held for callers")
+      .set(static_cast<double>(Memory.limit()));
+  const net::memory_account::counts &Totals = Memory.totals();
+  setMemoryActions(Metrics, "refused", Totals.RefusedCharges);
+  setMemoryActions(Metrics, "evicted_request", Totals.EvictedRequests);
+  setMemoryActions(Metrics, "evicted_response", Totals.EvictedResponses);
+  setMemoryActions(Metrics, "replaced_connection", ReplacedConnections);
+}
+
 void updateGauges(metrics::registry &Metrics, const gauge_sources &Sources,
                   base::boot_time Now) {
   const auto SetGauge = [&Metrics](const char *Name, const char *Help,
@@ -37,6 +65,17 @@
   SetGauge("skylarkdyke_targets_cold",
            "Targets that tolerate only their cold rate",
            Sources.TargetRegistry.coldCount(Now));
+  for (const auto Cause :
+       {placement::move_cause::TargetGone, placement::move_cause::TargetJoined,
+        placement::move_cause::RegionShares, placement::move_cause::Load})
+    Metrics
+        .gauge("skylarkdyke_object_moves",
+               "Objects that changed their target since the start",
+               {{"cause", placement::toString(Cause)}})
+        .set(static_cast<double>(Sources.Placer.moves().count(Cause)));
+  SetGauge("skylarkdyke_slot_waiting",
+           "Requests that wait here for a free slot of a target",
+           Sources.Placer.waitingRequests().size());
   const steering_state &State = Sources.State;
   SetGauge("skylarkdyke_config_version", "Configuration in force",
            State.version());
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 #include "gateway/detail/gauges.hpp"
 #include "gateway/detail/loop_lateness.hpp"
 #include "gateway/detail/mesh_link.hpp"
+#include "gateway/detail/quota_service.hpp"
 #include "gateway/detail/request_rejection.hpp"
 #include "gateway/detail/steering_state.hpp"
 #include "gateway/detail/watch_delay.hpp"
@@ -37,12 +38,23 @@
 /// Requests per second that each Mbit/s of link bandwidth can carry, counting
 /// both directions to the caller and the target.
 static constexpr double RequestsPerMbit = 20;
-/// File descriptors reserved for connections to targets and the store, and for
-/// files.
-static constexpr std::size_t ReservedDescriptors = 1200;
-/// Maximum number of connections to each of the readiness, directory and
-/// metrics servers.
+/// File descriptors reserved for connections to targets, the store, other
+/// entries and the control servers, and for files.
+static constexpr std::size_t ReservedDescriptors = 1600;
+/// Maximum number of connections to each of the control servers, which are the
+/// readiness, directory and metrics servers, and the part of all descriptors
+/// that each of them may use.
 static constexpr std::size_t MaxControlConnections = 400;
+static constexpr std::size_t ControlDescriptorsDivisor = 16;
+/// Parts of the memory of the process that may be held for callers, and for the
+/// clients of the control servers.
+static constexpr std::size_t CallerMemoryDivisor = 2;
+static constexpr std::size_t ControlMemoryDivisor = 32;
+/// Period in which the entry logs how many objects have changed their target.
+static constexpr milliseconds MovesLogPeriod{10000};
+/// What a connection of a caller reads before earlier requests have their
+/// responses; some callers send several requests at once.
+static constexpr net::read_ahead_limits CallerReadAhead{8, 65536};
 /// Period in which a stopping entry checks whether all responses were sent.
 static constexpr milliseconds StopCheckPeriod{50};
 /// Time after the start during which the demand of the other entries may be
@@ -70,6 +82,7 @@
   void stop(base::boot_time RequestedAt);
   void tick();
   void updateShares(base::boot_time Now);
+  void logMoves(base::boot_time Now);
   bool shouldWatchStore(base::boot_time Now) const;
   std::vector<detail::cold_watch::checker>
   liveCheckers(base::boot_time Now) const;
@@ -79,6 +92,7 @@
   void onDirectoryRequest(const std::shared_ptr<net::pending_request> &Request);
   void onMetricsRequest(const std::shared_ptr<net::pending_request> &Request);
   std::size_t maxCallerConnections() const;
+  std::size_t maxControlConnections() const;
   void continueStop();
 
   boost::asio::io_context &Loop;
@@ -94,12 +108,15 @@
   detail::steering_state State;
   detail::channel_pool Pool;
   detail::crash_guard Crashes;
+  membership::member_table Members;
+  detail::quota_service Quotas;
   detail::steering_context Context;
   detail::demand_history History;
-  membership::member_table Members;
   detail::directory_service Directory;
   detail::mesh_link Mesh;
   detail::cold_watch ColdWatch;
+  std::shared_ptr<net::memory_account> CallerMemory;
+  std::shared_ptr<net::memory_account> ControlMemory;
   net::http_server FrontServer;
   net::http_server ReadinessServer;
   net::http_server DirectoryServer;
@@ -112,6 +129,8 @@
   bool ReadyLogged = false;
   detail::loop_lateness Lateness;
   base::boot_time NextTickAt{};
+  base::boot_time NextMovesLogAt{};
+  std::uint64_t LoggedMoves = 0;
   /// After a pause of the process, time until which the heartbeats that the
   /// others have sent meanwhile may not have been read.
   base::boot_time HeartbeatsMissedUntil{};
@@ -137,15 +156,27 @@
       State(TargetRegistry, std::move(Decoder), Settings.RecordRecoveryTime,
             [] { return base::boot_clock::now(); }),
       Pool(Loop, Memory), Crashes(Loop, Metrics, Log, Incarnation),
-      Context{Loop,    Protocol.Headers,
-              State,   TargetRegistry,
-              Placer,  Pool,
-              Retries, Metrics,
-              Log,     Crashes,
-              {},      {},
-              1,       std::numeric_limits<unsigned>::max(),
-              {}},
       Members(Settings.Mesh, Settings.Region, Settings.RegionOf),
+      Quotas(Loop, Members, Metrics,
+             {Settings.Mesh, Settings.Region, Settings.RegionOf,
+              Settings.QuotaBound},
+             static_cast<std::uint32_t>(Incarnation)),
+      Context{Loop,
+              Protocol.Headers,
+              State,
+              TargetRegistry,
+              Placer,
+              Pool,
+              Retries,
+              Metrics,
+              Log,
+              Crashes,
+              Quotas,
+              {},
+              {},
+              1,
+              std::numeric_limits<unsigned>::max(),
+              {}},
       Directory(Settings, Protocol, State, TargetRegistry, Placer, History,
                 Members, [this] { return ownStatus(); }),
       Mesh(
@@ -154,6 +185,10 @@
           [this] { updateShares(base::boot_clock::now()); }),
       ColdWatch(this->Protocol.Headers, State, TargetRegistry, Pool, Metrics,
                 Log, {Settings.Mesh, Settings.Region}),
+      CallerMemory(std::make_shared<net::memory_account>(Settings.MemoryBytes /
+                                                         CallerMemoryDivisor)),
+      ControlMemory(std::make_shared<net::memory_account>(
+          Settings.MemoryBytes / ControlMemoryDivisor)),
       FrontServer(
           Loop, maxCallerConnections(),
           [this] { return detail::limitsInForce(State); },
@@ -161,17 +196,17 @@
             detail::exchange::start(Context, std::move(Request));
           }),
       ReadinessServer(
-          Loop, MaxControlConnections, controlLimits,
+          Loop, maxControlConnections(), controlLimits,
           [this](const std::shared_ptr<net::pending_request> &Request) {
             onReadinessRequest(Request);
           }),
       DirectoryServer(
-          Loop, MaxControlConnections, controlLimits,
+          Loop, maxControlConnections(), controlLimits,
           [this](const std::shared_ptr<net::pending_request> &Request) {
             onDirectoryRequest(Request);
           }),
       MetricsServer(
-          Loop, MaxControlConnections, controlLimits,
+          Loop, maxControlConnections(), controlLimits,
           [this](const std::shared_ptr<net::pending_request> &Request) {
             onMetricsRequest(Request);
           }),
@@ -183,6 +218,11 @@
              : Settings.MaxDescriptors / 2;
 }
 
+std::size_t gateway::impl::maxControlConnections() const {
+  return std::min(MaxControlConnections,
+                  Settings.MaxDescriptors / ControlDescriptorsDivisor);
+}
+
 bool gateway::impl::start() {
   const auto Now = base::boot_clock::now();
   State.setMaxAge(Settings.ConfigurationBound);
@@ -191,6 +231,11 @@
         return detail::respondToUnreadable(Request, State, Protocol.Headers,
                                            Log, base::boot_clock::now());
       });
+  FrontServer.setReadAhead(CallerReadAhead);
+  FrontServer.setMemory(CallerMemory);
+  for (net::http_server *Server :
+       {&ReadinessServer, &DirectoryServer, &MetricsServer})
+    Server->setMemory(ControlMemory);
   Context.DrainTime = Settings.DrainTime;
   State.setEntryCallback([this](const base::endpoint &Mesh) {
     Members.addAddress(Mesh, base::boot_clock::now());
@@ -205,6 +250,15 @@
          Source.storeBlock(Block);
        },
        [this](std::uint64_t Fingerprint) { Source.removeBlock(Fingerprint); }});
+  Quotas.setSender(
+      [this](const base::endpoint &To, const std::string &Message) {
+        Mesh.send(To, Message);
+      });
+  Mesh.setTokenHandlers(
+      [this](const quotas::token_request &Request) {
+        Quotas.onRequest(Request);
+      },
+      [this](const quotas::token_grant &Grant) { Quotas.onGrant(Grant); });
   for (const base::endpoint &Seed : Settings.Seeds)
     Members.addAddress(Seed, Now);
   if (!Mesh.start() || !FrontServer.listen(Settings.Front))
@@ -332,12 +386,31 @@
   Crashes.tick(Members.isRelay(), Now);
   ColdWatch.tick(liveCheckers(Now), Now);
   updateShares(Now);
+  Quotas.tick(State.routes(), Now);
+  logMoves(Now);
   Log.flush();
   NextTickAt = base::boot_clock::now() +
                (isReady() || Stopping ? TickPeriod : StartTickPeriod);
   Timer.set(NextTickAt, [this] { tick(); });
 }
 
+void gateway::impl::logMoves(base::boot_time Now) {
+  const placement::move_counter &Moves = Placer.moves();
+  if (Now < NextMovesLogAt || Moves.total() == LoggedMoves)
+    return;
+  NextMovesLogAt = Now + MovesLogPeriod;
+  LoggedMoves = Moves.total();
+  const auto Count = [&Moves](placement::move_cause Cause) {
+    return static_cast<std::int64_t>(Moves.count(Cause));
+  };
+  SKYLARKDYKE_DECISION(
+      Log, ObjectsMoved, Now,
+      {{"target_gone", Count(placement::move_cause::TargetGone)},
+       {"target_joined", Count(placement::move_cause::TargetJoined)},
+       {"region_shares", Count(placement::move_cause::RegionShares)},
+       {"load", Count(placement::move_cause::Load)}});
+}
+
 /// Returns the other entries that may check targets.
 std::vector<detail::cold_watch::checker>
 gateway::impl::liveCheckers(base::boot_time Now) const {
@@ -384,9 +457,11 @@
   const auto Now = base::boot_clock::now();
   detail::updateGauges(
       Metrics,
-      {TargetRegistry, State, Source.callCounts(),
+      {TargetRegistry, Placer, State, Source.callCounts(),
        static_cast<unsigned>(Members.liveMembers(Now).size() + 1)},
       Now);
+  detail::updateMemoryGauges(Metrics, *CallerMemory,
+                             FrontServer.replacedConnections());
   Request->answer(net::makeResponse(200, Metrics.render()));
 }
 
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -1,5 +1,8 @@
 #include "skylarkdyke/placement/placer.hpp"
 
+#include "skylarkdyke/placement/rendezvous.hpp"
+#include "skylarkdyke/routing/team_rules.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <xxhash.h>
@@ -21,6 +24,10 @@
 static constexpr double MaxShiftPerSecond = 0.05;
 /// Period in which the shares of the regions are updated.
 static constexpr milliseconds SharesUpdatePeriod{100};
+/// Maximum number of sets of allowed regions for which the shares of a route
+/// are kept. Beyond it the set that has been unused for longest is dropped; its
+/// shares then start at their goal.
+static constexpr std::size_t MaxDistributionsPerRoute = 64;
 /// Round-trip time assumed for another region until it has been measured.
 static constexpr milliseconds AssumedRoundTrip{80};
 /// Weight of the newest sample in the moving average of the round-trip time.
@@ -53,6 +60,21 @@
 /// Fraction of the rest of a pause over which refused callers return after it.
 static constexpr double CallerReturnSpread = 0.25;
 
+static unsigned priorityOf(const placement_query &Query) {
+  return routing::priorityOf(*Query.Route, Query.Team);
+}
+
+/// Returns a hash that differs between the incarnations of a target: one that
+/// has started again is warm for no object.
+static std::uint64_t incarnationSeed(const target_state &State) {
+  return XXH3_64bits_withSeed(&State.Target.StartedAtMs,
+                              sizeof(State.Target.StartedAtMs), State.Seed);
+}
+
+static admission::waiting_place placeOf(const placement_query &Query) {
+  return {priorityOf(Query), Query.ObjectiveDeadline};
+}
+
 struct placer::candidate {
   target_state *State;
   double SortKey;
@@ -97,7 +119,7 @@
 }
 
 placer::placer(target_registry &Registry, base::region_name OwnRegion)
-    : Registry(Registry), OwnRegion(std::move(OwnRegion)) {}
+    : Registry(Registry), OwnRegion(std::move(OwnRegion)), Moves(Registry) {}
 placer::~placer() = default;
 
 void placer::setDemand(const base::service_name &Service,
@@ -131,18 +153,16 @@
                                                           (Time - It->second));
 }
 
-static bool isAllowed(const routing::route &Route,
-                      const base::region_name &Region) {
-  const auto &Allowed = Route.AllowedRegions;
-  return Allowed.empty() ||
-         std::find(Allowed.begin(), Allowed.end(), Region) != Allowed.end();
+static bool isAllowed(const placement_query &Query,
+                      const target_state &Target) {
+  return routing::isRegionAllowed(*Query.Route, Query.Team, Target.Region);
 }
 
 region_loads placer::regionLoads(const placement_query &Query,
                                  base::boot_time Now) const {
   region_loads Loads;
   for (const target_state *State : Registry.targetsOf(Query.Service->Name)) {
-    if (!isAllowed(*Query.Route, State->Region))
+    if (!isAllowed(Query, *State))
       continue;
     region_load &Load = Loads[State->Region];
     // The slots of slow targets count in proportion to their speed, those of
@@ -160,12 +180,31 @@
   return Loads;
 }
 
+/// Returns the shares of the requests of a route that have the same allowed
+/// regions.
+placer::region_distribution &
+placer::distributionOf(const placement_query &Query) {
+  const auto Regions = routing::allowedRegions(*Query.Route, Query.Team);
+  auto &ByRegions = Distributions[Query.Route->Name];
+  const auto [Found, IsNew] =
+      ByRegions.try_emplace(Regions.value_or(std::vector<base::region_name>()));
+  if (IsNew && ByRegions.size() > MaxDistributionsPerRoute)
+    ByRegions.erase(std::min_element(
+        ByRegions.begin(), ByRegions.end(),
+        [New = Found](const auto &Left, const auto &Right) {
+          return Left.first != New->first &&
+                 (Right.first == New->first ||
+                  Left.second.NextUpdateAt < Right.second.NextUpdateAt);
+        }));
+  return Found->second;
+}
+
 base::region_name placer::homeRegion(const placement_query &Query,
                                      base::boot_time Now) {
-  route_shares &RouteShares = SharesByRoute[Query.Route->Name];
-  rate_limited_shares &Shares = RouteShares.Shares;
-  if (Now >= RouteShares.NextUpdateAt) {
-    RouteShares.NextUpdateAt = Now + SharesUpdatePeriod;
+  region_distribution &Distribution = distributionOf(Query);
+  rate_limited_shares &Shares = Distribution.Shares;
+  if (Now >= Distribution.NextUpdateAt) {
+    Distribution.NextUpdateAt = Now + SharesUpdatePeriod;
     Shares.approach(
         distributeDemand(regionLoads(Query, Now), OwnRegion, SpilloverFraction),
         MaxShiftPerSecond, Now);
@@ -207,8 +246,7 @@
   nanoseconds Shortest = nanoseconds::max();
   for (const target_state *State : Registry.targetsOf(Query.Service->Name)) {
     const auto From = std::max(Now, State->PausedUntil);
-    if (isAllowed(*Query.Route, State->Region) &&
-        Registry.acceptsRequests(*State, From))
+    if (isAllowed(Query, *State) && Registry.acceptsRequests(*State, From))
       Shortest = std::min<nanoseconds>(Shortest, From - Now);
   }
   return Shortest == nanoseconds::max() ? nanoseconds(0) : Shortest;
@@ -278,16 +316,13 @@
       continue;
     if (!Registry.acceptsRequests(*State, Now) ||
         State->UsableUntil.has_value() != Leaving ||
-        !isAllowed(*Query.Route, State->Region) ||
+        !isAllowed(Query, *State) ||
         std::find(Query.TriedTargets.begin(), Query.TriedTargets.end(),
                   State->Target.Id) != Query.TriedTargets.end())
       continue;
-    const std::uint64_t Hash = XXH3_64bits_withSeed(
-        &Query.ObjectHash, sizeof(std::uint64_t), State->Seed);
-    const double HashFraction =
-        (static_cast<double>(Hash >> 11U) + 1) * std::ldexp(1.0, -53);
     Candidates.push_back(
-        {State, -std::log(HashFraction) / std::max(1U, State->Target.Slots)});
+        {State, rendezvousKey(Query.ObjectHash, State->Seed,
+                              target_registry::placementWeight(*State, Now))});
   }
   std::sort(Candidates.begin(), Candidates.end(),
             [](const candidate &Left, const candidate &Right) {
@@ -301,7 +336,8 @@
                    const processing_time_estimate &Estimate,
                    base::boot_time Now) const {
   const target_state &State = *Candidate.State;
-  Candidate.Warm = ProcessingTimes.isWarm(Query.ObjectHash, State.Seed, Now);
+  Candidate.Warm =
+      ProcessingTimes.isWarm(Query.ObjectHash, incarnationSeed(State), Now);
   double WarmProbability = OtherRankWarmProbability;
   if (Candidate.Warm)
     WarmProbability = 1;
@@ -309,16 +345,19 @@
     WarmProbability = FirstRankWarmProbability;
   else if (Rank == 1)
     WarmProbability = SecondRankWarmProbability;
-  Candidate.Load = Registry.expectedLoad(State, Now);
+  Candidate.Load =
+      Registry.expectedLoad(State, Now) +
+      static_cast<double>(Waiting.countAhead(State.Target.Id, placeOf(Query)));
+  const double Slowness =
+      State.LatencyRatio * target_registry::expectedSlowdown(State, Now);
   const nanoseconds BaseTime = Estimate.expected(WarmProbability);
   Candidate.ProcessingTime =
-      std::chrono::duration_cast<nanoseconds>(BaseTime * State.LatencyRatio);
+      std::chrono::duration_cast<nanoseconds>(BaseTime * Slowness);
   const double Slots = std::max(1U, State.Target.Slots);
   const double QueuedPerSlot =
       std::max(0.0, Candidate.Load + 1 - Slots) / Slots;
   Candidate.Wait = std::chrono::duration_cast<nanoseconds>(
-      Estimate.expected(FirstRankWarmProbability) * State.LatencyRatio *
-      QueuedPerSlot);
+      Estimate.expected(FirstRankWarmProbability) * Slowness * QueuedPerSlot);
   Candidate.CompletionTime =
       Candidate.ProcessingTime + Candidate.Wait + roundTrip(State.Region);
   Candidate.Cost = Candidate.CompletionTime;
@@ -334,7 +373,7 @@
     return false;
   // Without samples the processing time is an assumption, which must not cause
   // a refusal.
-  if (!ProcessingTimes.hasSamples(Query.Route->Name))
+  if (!ProcessingTimes.hasSamples(Query.Route->Name, Now))
     return Now + Best.Wait <= Query.Deadline;
   if (Now + Best.CompletionTime > Query.Deadline)
     return false;
@@ -345,6 +384,15 @@
                           Now);
 }
 
+/// Returns whether a request must wait for a free slot instead of joining the
+/// queue of a target.
+bool placer::mustWait(const candidate &Best, const placement_query &Query,
+                      base::boot_time Now) const {
+  return Best.Load + 1 > Best.State->Target.Slots &&
+         Now < Query.ObjectiveDeadline - (Best.CompletionTime - Best.Wait) &&
+         Priorities.hasHigher(Query.Service->Name, priorityOf(Query), Now);
+}
+
 /// Returns the candidates of the home region, or of all regions if it has none,
 /// and after them the leaving targets of all regions.
 std::vector<placer::candidate>
@@ -404,6 +452,7 @@
 
 placement_result placer::choose(const placement_query &Query,
                                 base::boot_time Now) {
+  Priorities.record(Query.Service->Name, priorityOf(Query), Now);
   std::vector<candidate> Candidates = allCandidates(Query, Now);
   if (Candidates.empty())
     return explainNoCandidate(Query, Now);
@@ -425,6 +474,12 @@
                        std::max<nanoseconds>(Best->Wait / 2, MinRetryAfter)};
     Best = Leaving;
   }
+  if (mustWait(*Best, Query, Now))
+    return slot_wait{Best->State->Target.Id, placeOf(Query),
+                     Query.ObjectiveDeadline -
+                         (Best->CompletionTime - Best->Wait)};
+  if (Query.TriedTargets.empty())
+    Moves.record(Query.ObjectHash, *Best->State, Now);
   return chosen_target{Best->State->Target.Id,
                        Best->State->Target.Address,
                        Best->Warm,
@@ -440,16 +495,19 @@
   const target_state *State = Registry.find(Chosen.Id);
   if (State == nullptr)
     return;
+  ProcessingTimes.recordAnswer(Query.Route->Name, Now);
   const nanoseconds MeasuredTime =
       std::max<nanoseconds>(Latency - roundTrip(State->Region), nanoseconds(1));
   if (Chosen.ExpectedWait == nanoseconds(0) &&
       !target_registry::isCold(*State, Now)) {
+    // A slowdown that the target reports itself is no lasting property of it.
     Registry.recordLatencyRatio(
         Chosen.Id, ProcessingTimes.ratioToExpected(*Query.Route, Chosen.Warm,
-                                                   MeasuredTime));
+                                                   MeasuredTime) /
+                       target_registry::expectedSlowdown(*State, Now));
     ProcessingTimes.recordSample(Query.Route->Name, Chosen.Warm, MeasuredTime);
   }
-  ProcessingTimes.recordHandled(Query.ObjectHash, State->Seed, Now);
+  ProcessingTimes.recordHandled(Query.ObjectHash, incarnationSeed(*State), Now);
 }
 
 } // namespace skylarkdyke::placement
--- a/tests/unit-placement-placer.cpp
+++ b/tests/unit-placement-placer.cpp
@@ -126,6 +126,57 @@
   STRCMP_EQUAL("", choose(query(1)).c_str());
 }
 
+// Guards against requests of a team that run outside its regions: at their home
+// region, at leaving targets, as a second send, or when their own targets are
+// full, away or paused.
+TEST(placement_placer, RegionsOfTheTeamAreEnforced) {
+  addTargets(2, NorthA);
+  addTargets(2, SouthA);
+  routing::team Team;
+  Team.AllowedRegions = {base::region_name("south")};
+  const auto ChooseForTeam = [&](std::uint64_t Object,
+                                 std::vector<base::target_id> Tried = {}) {
+    auto Query = query(Object);
+    Query.Team = &Team;
+    Query.TriedTargets = std::move(Tried);
+    return choose(Query);
+  };
+  for (std::uint64_t Object = 1; Object < 50; ++Object) {
+    const std::string First = ChooseForTeam(Object);
+    CHECK(First.find("south") == 0);
+    CHECK(ChooseForTeam(Object, {base::target_id(First)}).find("south") == 0);
+    // The regions of one team hold for no other request of the route.
+    CHECK(choose(query(Object)).find("north") == 0);
+  }
+  STRCMP_EQUAL("", ChooseForTeam(1, {base::target_id("south-a0"),
+                                     base::target_id("south-a1")})
+                       .c_str());
+  for (const char *Id : {"south-a0", "south-a1"})
+    for (int I = 0; I < 20; ++I)
+      Registry.beginSend(base::target_id(Id), Now);
+  STRCMP_EQUAL("", ChooseForTeam(1).c_str());
+  Registry.startEvacuation(SouthA);
+  STRCMP_EQUAL("", ChooseForTeam(1).c_str());
+  Route.AllowedRegions = {North};
+  STRCMP_EQUAL("", ChooseForTeam(1).c_str());
+}
+
+// Guards against state that grows without bound with the sets of regions of
+// teams, and against a set that is dropped while it is used.
+TEST(placement_placer, ManySetsOfRegionsAreServed) {
+  addTargets(2, NorthA);
+  addTargets(2, SouthA);
+  for (int I = 0; I < 500; ++I, Now += 10ms) {
+    routing::team Team;
+    Team.AllowedRegions = {base::region_name("south"),
+                           base::region_name(std::to_string(I))};
+    auto Query = query(1);
+    Query.Team = &Team;
+    CHECK(choose(Query).find("south") == 0);
+    CHECK(choose(query(1)).find("north") == 0);
+  }
+}
+
 // Guards against a burst at a target that restarts cold: the entries of a
 // region must together stay within the tolerated rate.
 TEST(placement_placer, EntriesTogetherRespectTheColdRate) {
@@ -294,6 +345,73 @@
 }
 
 // Guards against targets that join but never get a request.
+// Guards against a route that is refused for good because of the processing
+// time of an earlier route of its name: only answers renew that time.
+TEST(placement_placer, ARouteThatReplacesASlowOneIsServedAgain) {
+  addTargets(2, NorthA);
+  for (int I = 0; I < 20; ++I)
+    serve(1, 1400ms);
+  Route.Timeout = 300ms;
+  Route.LatencyObjective = 200ms;
+  const auto ShortQuery = [this] {
+    auto Query = query(1);
+    Query.Deadline = Now + 300ms;
+    return Query;
+  };
+  STRCMP_EQUAL("", choose(ShortQuery()).c_str());
+  Now += 10s;
+  CHECK(!choose(ShortQuery()).empty());
+}
+
+// Guards against targets that count as full for good after they were full with
+// the work of other entries: without requests they report nothing new.
+TEST(placement_placer, TargetsThatWereFullAreTriedAgain) {
+  addTargets(2, NorthA);
+  serve(1, 100ms);
+  for (int I = 0; I < 40; ++I)
+    for (const char *Id : {"north-a0", "north-a1"})
+      Registry.recordReportedLoad(base::target_id(Id), {4, 12, 4, {}}, Now);
+  STRCMP_EQUAL("", choose(query(1)).c_str());
+  Now += 60s;
+  CHECK(!choose(query(1)).empty());
+}
+
+// Guards against requests that wait at a target on a machine that is slow for
+// a moment, and against a lasting memory of that moment.
+TEST(placement_placer, ATargetThatReportsASlowMachineGetsLessForAMoment) {
+  addTargets(2, NorthA);
+  // Both targets are warm for the object.
+  for (const char *Id : {"north-a0", "north-a1"}) {
+    placement::chosen_target Chosen;
+    Chosen.Id = base::target_id(Id);
+    Chosen.Warm = true;
+    Placer.recordAnswer(query(1), Chosen, 100ms, Now);
+  }
+  const std::string Usual = choose(query(1));
+  const std::string Other = Usual == "north-a0" ? "north-a1" : "north-a0";
+  Registry.recordReportedLoad(base::target_id(Usual), {1, 0, 4, 2.5}, Now);
+  Registry.recordReportedLoad(base::target_id(Other), {1, 0, 4, 1.0}, Now);
+  STRCMP_EQUAL(Other.c_str(), choose(query(1)).c_str());
+  Now += 5s;
+  STRCMP_EQUAL(Usual.c_str(), choose(query(1)).c_str());
+}
+
+// Guards against a target that counts as warm for the objects of its earlier
+// incarnation.
+TEST(placement_placer, ARestartedTargetIsNotWarm) {
+  addTargets(1, NorthA);
+  serve(1, 100ms);
+  const auto Warm = [this] {
+    return std::get<placement::chosen_target>(Placer.choose(query(1), Now))
+        .Warm;
+  };
+  CHECK(Warm());
+  auto Restarted = makeTarget("north-a0", NorthA);
+  Restarted.StartedAtMs = 5;
+  Registry.upsert(Restarted, Now);
+  CHECK(!Warm());
+}
+
 TEST(placement_placer, JoinedTargetGetsARequest) {
   addTargets(3, NorthA);
   for (std::uint64_t Object = 1; Object < 30; ++Object)
