--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -84,7 +84,6 @@
   void updateShares(base::boot_time Now);
   void logMoves(base::boot_time Now);
   bool shouldWatchStore(base::boot_time Now) const;
-  bool othersReportStoreFailure(base::boot_time Now) const;
   std::vector<detail::cold_watch::checker>
   liveCheckers(base::boot_time Now) const;
   bool isReady() const { return State.isComplete() && !Stopping; }
@@ -385,7 +384,7 @@
   TargetRegistry.sweep(Now);
   Pool.sweep(Now);
   Crashes.tick(Members.isRelay(), Now);
-  ColdWatch.tick(liveCheckers(Now), othersReportStoreFailure(Now), Now);
+  ColdWatch.tick(liveCheckers(Now), Now);
   updateShares(Now);
   Quotas.tick(State.routes(), Now);
   logMoves(Now);
@@ -412,14 +411,6 @@
        {"load", Count(placement::move_cause::Load)}});
 }
 
-/// Returns whether calls of another live entry to the store fail.
-bool gateway::impl::othersReportStoreFailure(base::boot_time Now) const {
-  const auto Live = Members.liveMembers(Now);
-  return std::any_of(Live.begin(), Live.end(), [](const auto *Member) {
-    return !Member->Status.StoreReachable;
-  });
-}
-
 /// Returns the other entries that may check targets.
 std::vector<detail::cold_watch::checker>
 gateway::impl::liveCheckers(base::boot_time Now) const {
