Restore the length of the schedules in the quota tests

Cause: with 12 faults a schedule, quotas_fleet.TheCheckDetectsUncountedHolders found no schedule in which the pools that count too few holders exceed the bound, so the check had lost its strength.

--- a/tests/unit-quotas-fleet.cpp
+++ b/tests/unit-quotas-fleet.cpp
@@ -45,7 +45,7 @@
 
 auto faults(int Size) {
   return rc::gen::container<std::vector<fault>>(
-      12, rc::gen::tuple(rc::gen::inRange(0U, 11U),
+      18, rc::gen::tuple(rc::gen::inRange(0U, 11U),
                          rc::gen::inRange(0U, static_cast<unsigned>(Size)),
                          rc::gen::inRange(1U, 12U)));
 }
@@ -209,7 +209,7 @@
   CHECK_TRUE(rc::check([] {
     RC_ASSERT(staysWithinBoundIn(quota_fleet(10, 0.02, 1), *faults(10)));
   }));
-  for (const auto &[Size, Runs] : {std::pair{59U, 4U}, std::pair{295U, 1U}})
+  for (const auto &[Size, Runs] : {std::pair{59U, 6U}, std::pair{295U, 1U}})
     for (unsigned Seed = 1; Seed <= Runs; ++Seed)
       CHECK_TRUE(staysWithinBoundIn(quota_fleet(Size, 0.02, Seed),
                                     randomSchedule(Size, Seed)));
