--- a/include/skylarkdyke/placement/target_registry.hpp
+++ b/include/skylarkdyke/placement/target_registry.hpp
@@ -89,14 +89,14 @@
   /// A connection could not be opened, so the target may have restarted: it
   /// counts as cold from its next answer on.
   bool MayHaveRestarted = false;
+  /// NextColdSend has been set since the target became cold.
+  bool ColdSendScheduled = false;
   /// Time until which the target is cold, for example after its start: it
   /// tolerates only routing::service::ColdRequestsPerSecond.
   base::boot_time ColdUntil{};
   /// Time until which the target may be cold, because it has not said yet that
   /// it is not: it gets requests as if it were.
   base::boot_time MayBeColdUntil{};
-  /// NextColdSend has been set since the target became cold.
-  bool ColdSendScheduled = false;
   /// Earliest time of the next send while the target is cold; the time of the
   /// latest send while it is not.
   base::boot_time NextColdSend{};
@@ -104,11 +104,11 @@
   /// target; 0 while the target is not cold.
   std::chrono::nanoseconds ColdInterval{0};
   base::boot_time AddedAt{};
+  /// Time from which a target that joined takes over objects.
+  base::boot_time TakesOverAt{};
   /// The target was added after the initial fill of the registry, while this
   /// entry was serving.
   bool Joined = false;
-  /// Time from which a target that joined takes over objects.
-  base::boot_time TakesOverAt{};
   /// This entry has sent requests to the target.
   bool WasUsed = false;
   /// The target answered that the address belongs to another target: it gets no
