--- a/benchmarks/bench_moves.cpp
+++ b/benchmarks/bench_moves.cpp
@@ -40,12 +40,14 @@
 std::vector<const target *> ranked(const std::vector<target> &Targets,
                                    std::uint64_t Object) {
   std::vector<std::pair<double, const target *>> Keys;
+  Keys.reserve(Targets.size());
   for (const target &Target : Targets)
     Keys.emplace_back(
         placement::rendezvousKey(hashOf(Object), Target.Seed, Target.Slots),
         &Target);
   std::sort(Keys.begin(), Keys.end());
   std::vector<const target *> Ranked;
+  Ranked.reserve(Targets.size());
   for (const auto &[Key, Target] : Keys)
     Ranked.push_back(Target);
   return Ranked;
@@ -53,6 +55,7 @@
 
 assignment rendezvous(const std::vector<target> &Targets, std::size_t Objects) {
   assignment Result;
+  Result.reserve(Objects);
   for (std::size_t Object = 0; Object < Objects; ++Object)
     Result.push_back(ranked(Targets, Object).front()->Seed);
   return Result;
@@ -65,6 +68,7 @@
     Slots += Target.Slots;
   std::map<std::uint64_t, double> Load;
   assignment Result;
+  Result.reserve(Objects);
   for (std::size_t Object = 0; Object < Objects; ++Object)
     for (const target *Target : ranked(Targets, Object)) {
       const double Bound =
@@ -98,6 +102,7 @@
         ++Slot;
       }
   assignment Result;
+  Result.reserve(Objects);
   for (std::size_t Object = 0; Object < Objects; ++Object)
     Result.push_back(Positions[hashOf(Object) % TableSize]);
   return Result;
@@ -111,6 +116,7 @@
     for (unsigned Slot = 0; Slot < Target.Slots; ++Slot)
       Ring[hashOf(Slot, Target.Seed)] = Target.Seed;
   assignment Result;
+  Result.reserve(Objects);
   for (std::size_t Object = 0; Object < Objects; ++Object) {
     std::uint64_t Nearest = ~std::uint64_t{0};
     std::uint64_t Chosen = 0;
--- a/src/net/http_channel.cpp
+++ b/src/net/http_channel.cpp
@@ -40,6 +40,9 @@
 /// A connection on which the peer acknowledges nothing for this long is
 /// closed.
 static constexpr std::chrono::milliseconds PeerAckTimeout{1500};
+/// Size up to which a body fits the receive window of a peer that does not read
+/// yet.
+static constexpr std::size_t MaxWindowBytes = 16384;
 /// Fraction of the announced keep-alive time after which a connection is no
 /// longer reused, so that a request does not cross the close by the peer.
 static constexpr double KeepAliveFraction = 0.8;
@@ -136,6 +139,7 @@
 
   void startConnect(const std::shared_ptr<http_channel> &Self);
   void startExchange(const std::shared_ptr<http_channel> &Self);
+  std::chrono::milliseconds ackTimeout() const;
   void readResponse(const std::shared_ptr<http_channel> &Self);
   void readMore(const std::shared_ptr<http_channel> &Self);
   void onRead(const std::shared_ptr<http_channel> &Self,
@@ -272,14 +276,26 @@
         ConnectTime = base::boot_clock::now() - Started;
         error_code Ignored;
         Socket.set_option(tcp::no_delay(true), Ignored);
-        setAckTimeout(Socket.native_handle(), PeerAckTimeout);
         startExchange(Self);
       });
 }
 
+/// Returns the limit for the current request. The kernel also counts the time
+/// for which the peer keeps its receive window closed: a peer that is at work
+/// on the request may read a long body late, so that only the deadline limits
+/// it then.
+std::chrono::milliseconds http_channel::impl::ackTimeout() const {
+  if (!RequestBody || RequestBody->size() <= MaxWindowBytes)
+    return PeerAckTimeout;
+  return std::max(PeerAckTimeout,
+                  std::chrono::duration_cast<std::chrono::milliseconds>(
+                      Limits.Deadline - base::boot_clock::now()));
+}
+
 void http_channel::impl::startExchange(
     const std::shared_ptr<http_channel> &Self) {
   SendStarted = true;
+  setAckTimeout(Socket.native_handle(), ackTimeout());
   setTimer(Self, Limits.Deadline, channel_fault::DeadlinePassed);
   const auto Outgoing = std::make_shared<outgoing_request>(
       std::move(Request.base()), std::exchange(RequestBody, nullptr));
--- a/tests/unit-net-channel-streaming.cpp
+++ b/tests/unit-net-channel-streaming.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -256,6 +257,47 @@
   CHECK(!Reclaimed);
 }
 
+// Guards against an exchange that ends while its peer is at work: a peer may
+// read a long body late, and keeps its receive window closed until then.
+TEST(net_channel_streaming, APeerMayReadALongBodyLate) {
+  const auto Body = std::make_shared<const std::string>(12U << 20U, 'x');
+  net::http_request Request(verb::post, "/", 11);
+  Request.content_length(Body->size());
+  Channel = net::http_channel::create(Loop, Address, Memory);
+  const auto Deadline = base::boot_clock::now() + 30s;
+  Channel->callStreaming(
+      std::move(Request), Body, {Deadline, Deadline},
+      {[](const auto &, bool) { return response_use::Collect; }, nullptr,
+       [this](net::call_result Received) {
+         Result.emplace(std::move(Received));
+       }});
+  Acceptor.async_accept(Peer, [](auto) {});
+  Loop.restart();
+  Loop.run_for(2500ms);
+  CHECK_FALSE(Result.has_value());
+  std::size_t ReadBytes = 0;
+  std::string Buffer(1U << 20U, '\0');
+  std::function<void()> ReadOn = [&] {
+    Peer.async_read_some(boost::asio::buffer(Buffer), [&](auto Failure,
+                                                          std::size_t Size) {
+      ReadBytes += Size;
+      if (Failure)
+        return;
+      if (ReadBytes < Body->size())
+        return ReadOn();
+      boost::asio::write(Peer, boost::asio::buffer(std::string(
+                                   "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+                                   "\r\nok")));
+    });
+  };
+  ReadOn();
+  Loop.restart();
+  while (!Result && Loop.run_one_for(10s) != 0) {
+  }
+  CHECK_TRUE(Result.has_value());
+  CHECK_TRUE(static_cast<bool>(*Result));
+}
+
 // Guards against a body that a connection keeps after it was written.
 TEST(net_channel_streaming, ReleasesTheBodyOnceItIsWritten) {
   auto Body = std::make_shared<const std::string>("shared body");
