--- a/include/skylarkdyke/placement/placer.hpp
+++ b/include/skylarkdyke/placement/placer.hpp
@@ -1,9 +1,7 @@
 #ifndef SKYLARKDYKE_PLACEMENT_PLACER_HPP
 #define SKYLARKDYKE_PLACEMENT_PLACER_HPP
 
-#include "skylarkdyke/admission/active_priorities.hpp"
 #include "skylarkdyke/admission/admission_controller.hpp"
-#include "skylarkdyke/admission/waiting_requests.hpp"
 #include "skylarkdyke/placement/move_counter.hpp"
 #include "skylarkdyke/placement/processing_time_model.hpp"
 #include "skylarkdyke/placement/region_shares.hpp"
@@ -76,19 +74,8 @@
   std::chrono::nanoseconds RetryAfter{0};
 };
 
-/// \brief A request must wait at this entry until a target has a free slot,
-/// because the service also gets requests of a higher priority, which it could
-/// not let pass in the queue of the target.
-struct slot_wait {
-  base::target_id Target;
-  admission::waiting_place Place;
-  /// Time from which the request may join the queue of a target: it would miss
-  /// its latency objective by waiting longer.
-  base::boot_time Until;
-};
-
 /// \brief Result of the choice of a target.
-using placement_result = std::variant<chosen_target, no_target, slot_wait>;
+using placement_result = std::variant<chosen_target, no_target>;
 
 /// \brief This entry's share of the request rates that cold targets tolerate.
 ///
@@ -157,10 +144,6 @@
   /// \return how often objects have changed their target at this entry
   const move_counter &moves() const { return Moves; }
 
-  /// \return the requests that wait at this entry for a free slot
-  admission::waiting_requests &waitingRequests() { return Waiting; }
-  const admission::waiting_requests &waitingRequests() const { return Waiting; }
-
   /// \brief Returns the time until the first target that is allowed for a
   /// request accepts requests; 0 if one accepts them now or if none is known.
   std::chrono::nanoseconds timeUntilTarget(const placement_query &Query,
@@ -219,8 +202,6 @@
                                 base::boot_time Now) const;
   bool hasCapacity(const candidate &Best, const placement_query &Query,
                    base::boot_time Now);
-  bool mustWait(const candidate &Best, const placement_query &Query,
-                base::boot_time Now) const;
   std::chrono::nanoseconds roundTrip(const base::region_name &Region) const;
 
   target_registry &Registry;
@@ -229,8 +210,6 @@
   processing_time_model ProcessingTimes;
   admission::admission_controller Admission;
   move_counter Moves;
-  admission::active_priorities Priorities;
-  admission::waiting_requests Waiting;
   std::unordered_map<base::service_name, std::map<base::region_name, double>>
       Demand;
   /// By route, and by the regions in which its requests may be executed; no
--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -4,7 +4,6 @@
 #include "gateway/detail/target_signals.hpp"
 
 #include <algorithm>
-#include <boost/asio/post.hpp>
 #include <cstdio>
 #include <cstdlib>
 #include <utility>
@@ -31,9 +30,6 @@
 /// request is rejected immediately.
 static constexpr unsigned MaxColdWaits = 3;
 static constexpr milliseconds MaxColdWait{150};
-/// Period in which a request that waits for a free slot of one target looks for
-/// another target.
-static constexpr milliseconds SlotCheckPeriod{50};
 /// Retry delay given to callers whose request arrives late in a stop; other
 /// entries serve them.
 static constexpr milliseconds StopRetryAfter{50};
@@ -56,7 +52,7 @@
                                   routing::repeatability::Idempotent
                               ? net::request_concurrency::Shared
                               : net::request_concurrency::Exclusive,
-                          [Self] { Self->acquireQuota(); });
+                          [Self] { Self->selectTarget(); });
 }
 
 exchange::exchange(steering_context &Context,
@@ -131,10 +127,16 @@
     Query.Deadline = std::min(Query.Deadline, Context.Stop->RespondBy);
 }
 
-/// Counts the request in the quota of its team, if that has one, and places it.
+/// Returns whether the request needs a token of its team's quota, which it does
+/// not have yet.
+bool exchange::needsQuota() const {
+  return Query.Team != nullptr && Query.Team->Quota && !QuotaToken &&
+         Attempts.empty();
+}
+
+/// Counts the request in the quota of its team, and selects its target anew.
+/// A request without room is refused before, so that it uses up no quota.
 void exchange::acquireQuota() {
-  if (Query.Team == nullptr || !Query.Team->Quota)
-    return selectTarget();
   Context.Quotas.acquire(*Query.Team, [Self = shared_from_this()](
                                           const quota_service::result &Result) {
     Self->onQuotaResult(Result);
@@ -159,7 +161,6 @@
 }
 
 void exchange::selectTarget() {
-  stopWaitingForSlot();
   // A late event loop may not have told yet.
   if (Caller->hasCallerDisconnected())
     return onCallerDisconnected();
@@ -176,8 +177,8 @@
   const auto Choice = Context.Placer.choose(Query, Now);
   if (const auto *NoTargetResult = std::get_if<placement::no_target>(&Choice))
     return onNoTarget(*NoTargetResult);
-  if (const auto *Wait = std::get_if<placement::slot_wait>(&Choice))
-    return waitForSlot(*Wait);
+  if (needsQuota())
+    return acquireQuota();
   send(std::get<placement::chosen_target>(Choice));
 }
 
@@ -201,43 +202,6 @@
                        [Self = shared_from_this()] { Self->selectTarget(); });
 }
 
-void exchange::waitForSlot(const placement::slot_wait &Wait) {
-  if (hasRunningAttempt())
-    return;
-  Context.Metrics
-      .counter("skylarkdyke_slot_waits_total",
-               "Waits for a free slot of a target, by service",
-               {{"service", Query.Service->Name.str()}})
-      .add();
-  SlotWait = Wait;
-  SlotWait->Place = Context.Placer.waitingRequests().add(
-      Wait.Target, Wait.Place, [Weak = weak_from_this()] {
-        if (const auto Exchange = Weak.lock())
-          Exchange->selectTarget();
-      });
-  NextAttemptTimer.set(
-      std::min(Wait.Until, base::boot_clock::now() + SlotCheckPeriod),
-      [Self = shared_from_this()] { Self->selectTarget(); });
-}
-
-void exchange::stopWaitingForSlot() {
-  if (!SlotWait)
-    return;
-  NextAttemptTimer.cancel();
-  Context.Placer.waitingRequests().remove(SlotWait->Target, SlotWait->Place);
-  SlotWait.reset();
-}
-
-/// Lets the next request that waits for a target try again, once the current
-/// event has been handled.
-void exchange::wakeWaitingRequest(const base::target_id &Target) {
-  if (!Context.Placer.waitingRequests().hasWaiting(Target))
-    return;
-  boost::asio::post(Context.Loop, [&Context = Context, Target] {
-    Context.Placer.waitingRequests().wakeFirst(Target);
-  });
-}
-
 void exchange::onNoTarget(const placement::no_target &NoTargetResult) {
   if (hasRunningAttempt())
     return;
@@ -345,7 +309,6 @@
 void exchange::onCallResult(std::size_t Index, net::call_result Result) {
   attempt &Attempt = Attempts[Index];
   Attempt.Running = false;
-  wakeWaitingRequest(Attempt.Chosen.Id);
   const auto Now = base::boot_clock::now();
   Context.Placer.recordRoundTrip(Attempt.Chosen.Id,
                                  Attempt.Channel->connectTime());
@@ -456,7 +419,6 @@
 
 void exchange::cancelRunningAttempts() {
   Done = true;
-  stopWaitingForSlot();
   NextAttemptTimer.cancel();
   for (std::size_t I = 0; I < Attempts.size(); ++I)
     if (Attempts[I].Running && !isRelayed(I))
@@ -468,7 +430,6 @@
     return;
   logRequest(0, "caller_gone");
   Done = true;
-  stopWaitingForSlot();
   NextAttemptTimer.cancel();
   // An attempt of a request that is not idempotent continues until its
   // response starts: if it were cancelled, it would be unknown whether the
@@ -502,7 +463,6 @@
 
 void exchange::respond(net::http_response Response, const char *Outcome) {
   Done = true;
-  stopWaitingForSlot();
   NextAttemptTimer.cancel();
   removeHopByHopHeaders(Response);
   logRequest(Response.result_int(), Outcome);
--- a/src/gateway/detail/exchange.hpp
+++ b/src/gateway/detail/exchange.hpp
@@ -99,6 +99,7 @@
   net::http_request targetRequest(const base::target_id &Target,
                                   std::chrono::milliseconds TimeLeft) const;
   void readDeadline();
+  bool needsQuota() const;
   void acquireQuota();
   void onQuotaResult(const quota_service::result &Result);
   void giveBackQuota();
@@ -122,9 +123,6 @@
   bool mayTryNextTarget(placement::send_result Result);
   bool tryAcquireRetry();
   void waitForColdTarget(std::chrono::nanoseconds Time);
-  void waitForSlot(const placement::slot_wait &Wait);
-  void stopWaitingForSlot();
-  void wakeWaitingRequest(const base::target_id &Target);
   void scheduleHedge(const attempt &Attempt);
   void onCallerDisconnected();
   void endForStop();
@@ -160,8 +158,6 @@
   /// Delays an attempt while the rate limit of cold targets is reached; while
   /// an attempt runs, triggers the hedged attempt.
   net::one_shot_timer NextAttemptTimer;
-  /// Set while the request waits for a free slot of a target.
-  std::optional<placement::slot_wait> SlotWait;
   std::vector<attempt> Attempts;
   std::optional<net::http_response> TargetErrorResponse;
   /// Set while a response is sent on to the caller in pieces.
--- a/src/gateway/detail/gauges.cpp
+++ b/src/gateway/detail/gauges.cpp
@@ -73,9 +73,6 @@
                "Objects that changed their target since the start",
                {{"cause", placement::toString(Cause)}})
         .set(static_cast<double>(Sources.Placer.moves().count(Cause)));
-  SetGauge("skylarkdyke_slot_waiting",
-           "Requests that wait here for a free slot of a target",
-           Sources.Placer.waitingRequests().size());
   const steering_state &State = Sources.State;
   SetGauge("skylarkdyke_config_version", "Configuration in force",
            State.version());
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -60,10 +60,6 @@
 /// Fraction of the rest of a pause over which refused callers return after it.
 static constexpr double CallerReturnSpread = 0.25;
 
-static unsigned priorityOf(const placement_query &Query) {
-  return routing::priorityOf(*Query.Route, Query.Team);
-}
-
 /// Returns a hash that differs between the incarnations of a target: one that
 /// has started again is warm for no object.
 static std::uint64_t incarnationSeed(const target_state &State) {
@@ -71,10 +67,6 @@
                               sizeof(State.Target.StartedAtMs), State.Seed);
 }
 
-static admission::waiting_place placeOf(const placement_query &Query) {
-  return {priorityOf(Query), Query.ObjectiveDeadline};
-}
-
 struct placer::candidate {
   target_state *State;
   double SortKey;
@@ -345,9 +337,7 @@
     WarmProbability = FirstRankWarmProbability;
   else if (Rank == 1)
     WarmProbability = SecondRankWarmProbability;
-  Candidate.Load =
-      Registry.expectedLoad(State, Now) +
-      static_cast<double>(Waiting.countAhead(State.Target.Id, placeOf(Query)));
+  Candidate.Load = Registry.expectedLoad(State, Now);
   const double Slowness =
       State.LatencyRatio * target_registry::expectedSlowdown(State, Now);
   const nanoseconds BaseTime = Estimate.expected(WarmProbability);
@@ -384,15 +374,6 @@
                           Now);
 }
 
-/// Returns whether a request must wait for a free slot instead of joining the
-/// queue of a target.
-bool placer::mustWait(const candidate &Best, const placement_query &Query,
-                      base::boot_time Now) const {
-  return Best.Load + 1 > Best.State->Target.Slots &&
-         Now < Query.ObjectiveDeadline - (Best.CompletionTime - Best.Wait) &&
-         Priorities.hasHigher(Query.Service->Name, priorityOf(Query), Now);
-}
-
 /// Returns the candidates of the home region, or of all regions if it has none,
 /// and after them the leaving targets of all regions.
 std::vector<placer::candidate>
@@ -452,7 +433,6 @@
 
 placement_result placer::choose(const placement_query &Query,
                                 base::boot_time Now) {
-  Priorities.record(Query.Service->Name, priorityOf(Query), Now);
   std::vector<candidate> Candidates = allCandidates(Query, Now);
   if (Candidates.empty())
     return explainNoCandidate(Query, Now);
@@ -474,10 +454,6 @@
                        std::max<nanoseconds>(Best->Wait / 2, MinRetryAfter)};
     Best = Leaving;
   }
-  if (mustWait(*Best, Query, Now))
-    return slot_wait{Best->State->Target.Id, placeOf(Query),
-                     Query.ObjectiveDeadline -
-                         (Best->CompletionTime - Best->Wait)};
   if (Query.TriedTargets.empty())
     Moves.record(Query.ObjectHash, *Best->State, Now);
   return chosen_target{Best->State->Target.Id,
