Keep the part of an entry with a live pool

Cause: when all objects are cold, the loops of the large entries are late and their capacity falls, so that the relays of two regions changed each second. The parts moved with the preferred relay to pools that start almost empty, and entries of other regions asked relays without a part.

Change: a part stays with its pool while that is live, until another one has been preferred for 5 s; pools that have granted tokens lately are asked first.

--- a/include/skylarkdyke/quotas/token_client.hpp
+++ b/include/skylarkdyke/quotas/token_client.hpp
@@ -45,6 +45,9 @@
   std::vector<std::vector<base::endpoint>> Remote{};
   /// False while this entry may not know the others of its region yet.
   bool MayDelegate = true;
+  /// Live entries of the own region. A part stays with a live pool although
+  /// another one is preferred for a moment.
+  std::vector<base::endpoint> Live{};
 };
 
 /// \brief A request to send.
@@ -132,6 +135,7 @@
   bool askNextPool(pool_search &Search, base::boot_time Now);
   void endSearch(const pool_search &Search, base::boot_time Now);
   bool isPreferenceStable(base::boot_time Now);
+  bool mustMove(bool IsStable, base::boot_time Now) const;
   void updateDelegation(base::boot_time Now);
   bool isLocal(const base::endpoint &Pool) const;
   token_request makeRequest(delegation_change Delegation);
@@ -144,6 +148,8 @@
   /// When tokens expire that a pool hands out, by the sequence of the request.
   std::map<std::uint32_t, base::boot_time> ExpiryOfRequests;
   std::vector<outgoing_request> Outgoing;
+  /// When a pool has granted tokens last.
+  std::map<base::endpoint, base::boot_time> GrantedAt;
   std::optional<base::endpoint> Preferred;
   base::boot_time PreferredSince{};
   std::optional<base::endpoint> DelegatedTo;
--- a/src/gateway/detail/quota_service.cpp
+++ b/src/gateway/detail/quota_service.cpp
@@ -73,6 +73,10 @@
   quotas::pool_view View;
   View.MayDelegate = !Members.hasHeardNone(Now);
   View.Local = Members.relaysOf(Settings.Region);
+  for (const auto *Member : Members.liveMembers(Now))
+    if (Member->Region == Settings.Region)
+      View.Live.push_back(Member->Status.MeshAddress);
+  View.Live.push_back(Settings.Mesh);
   for (const base::region_name &Region : regions())
     if (Region != Settings.Region)
       View.Remote.push_back(Members.relaysOf(Region));
--- a/src/quotas/token_client.cpp
+++ b/src/quotas/token_client.cpp
@@ -20,6 +20,14 @@
 /// Time for which a pool must have been preferred before a part is delegated to
 /// it: entries that start prefer themselves until they know others.
 static constexpr milliseconds PreferenceTime{750};
+/// The same time while the former pool is live: the preferred pool changes
+/// while the load of entries changes, and a new pool starts almost empty.
+static constexpr milliseconds LivePoolMoveTime{5000};
+/// Time for which a pool that has granted tokens is asked although it is not
+/// the preferred one of its region.
+static constexpr milliseconds GrantorTime{5000};
+/// Maximum number of pools that are asked for a token.
+static constexpr std::size_t MaxPoolsAsked = 6;
 /// Time after which the next pool is asked while one is silent.
 static constexpr milliseconds LocalTimeout{80};
 static constexpr milliseconds RemoteTimeout{200};
@@ -155,27 +163,39 @@
     startSearch({{Team, State.Waiting + amountInAdvance(State, Now)}}, Now);
 }
 
+static bool contains(const std::vector<base::endpoint> &Endpoints,
+                     const base::endpoint &Wanted) {
+  return std::find(Endpoints.begin(), Endpoints.end(), Wanted) !=
+         Endpoints.end();
+}
+
 /// Returns the pools to ask in turn: that to which this entry delegates its
-/// part, the preferred one of its region, and that of each other region. The
-/// order of the latter varies, so that none has to serve all.
+/// part, the preferred one of its region, those that have granted tokens
+/// lately, and the preferred one of each other region. The order of the latter
+/// varies, so that none has to serve all.
 std::vector<base::endpoint> token_client::poolsToAsk() const {
   std::vector<base::endpoint> Pools;
-  if (DelegatedTo && isLocal(*DelegatedTo))
-    Pools.push_back(*DelegatedTo);
-  if (!View.Local.empty() &&
-      (Pools.empty() || !(Pools.front() == View.Local.front())))
-    Pools.push_back(View.Local.front());
+  const auto Add = [&Pools](const base::endpoint &Pool) {
+    if (Pools.size() < MaxPoolsAsked && !contains(Pools, Pool))
+      Pools.push_back(Pool);
+  };
+  if (DelegatedTo &&
+      (isLocal(*DelegatedTo) || contains(View.Live, *DelegatedTo)))
+    Add(*DelegatedTo);
+  if (!View.Local.empty())
+    Add(View.Local.front());
+  for (const auto &[Pool, At] : GrantedAt)
+    Add(Pool);
   for (std::size_t I = 0; I < View.Remote.size(); ++I) {
     const auto &Region = View.Remote[(Sequence + I) % View.Remote.size()];
     if (!Region.empty())
-      Pools.push_back(Region.front());
+      Add(Region.front());
   }
   return Pools;
 }
 
 bool token_client::isLocal(const base::endpoint &Pool) const {
-  return std::find(View.Local.begin(), View.Local.end(), Pool) !=
-         View.Local.end();
+  return contains(View.Local, Pool);
 }
 
 token_request token_client::makeRequest(delegation_change Delegation) {
@@ -235,6 +255,8 @@
       });
   if (Search == Searches.end())
     return;
+  if (!Grant.Granted.empty())
+    GrantedAt[Search->Pools[Search->NextPool - 1]] = Now;
   for (auto It = Search->Wanted.begin(); It != Search->Wanted.end();) {
     const auto Found = Teams.find(It->first);
     const bool IsSatisfied =
@@ -277,6 +299,16 @@
   return Now - PreferredSince >= PreferenceTime;
 }
 
+/// Returns whether another pool should get the part. A live pool keeps it until
+/// another one has been preferred for long.
+bool token_client::mustMove(bool IsStable, base::boot_time Now) const {
+  if (!DelegatedTo || *DelegatedTo == *Preferred)
+    return false;
+  if (contains(View.Live, *DelegatedTo))
+    return Now - PreferredSince >= LivePoolMoveTime;
+  return IsStable || !isLocal(*DelegatedTo);
+}
+
 /// A part is delegated to another pool only once the former one has confirmed
 /// that it does not use it any more, or its lease is over.
 void token_client::updateDelegation(base::boot_time Now) {
@@ -285,9 +317,7 @@
   const bool IsStable = isPreferenceStable(Now);
   if (Teams.empty())
     return;
-  const bool Moves = DelegatedTo && !(*DelegatedTo == *Preferred) &&
-                     (IsStable || !isLocal(*DelegatedTo));
-  if (Moves) {
+  if (mustMove(IsStable, Now)) {
     if (Now < DelegatedUntil) {
       token_request Request = makeRequest(delegation_change::Withdraw);
       Withdrawals.insert(Request.Sequence);
@@ -311,6 +341,8 @@
   View = NewView;
   for (auto It = ExpiryOfRequests.begin(); It != ExpiryOfRequests.end();)
     It = It->second <= Now ? ExpiryOfRequests.erase(It) : std::next(It);
+  for (auto It = GrantedAt.begin(); It != GrantedAt.end();)
+    It = Now - It->second > GrantorTime ? GrantedAt.erase(It) : std::next(It);
   checkTimeouts(Now);
   updateDelegation(Now);
   token_amounts Wanted;
--- a/tests/support/quota_fleet.cpp
+++ b/tests/support/quota_fleet.cpp
@@ -138,6 +138,10 @@
     else
       View.Local = Relays;
   }
+  for (const auto *Member : Table.liveMembers(Time))
+    if (Member->Region == regionOf(Index))
+      View.Live.push_back(Member->Status.MeshAddress);
+  View.Live.push_back(Entries[Index].Own.MeshAddress);
   Node.Client->tick(View, Time);
   process(Index, Time);
 }
--- a/tests/unit-quotas.cpp
+++ b/tests/unit-quotas.cpp
@@ -211,6 +211,22 @@
   }
 }
 
+// Guards against parts that move with the load of entries: a new pool starts
+// almost empty, so that teams below their quota would be refused.
+TEST(quotas_tokens, APartStaysWithALivePoolForAWhile) {
+  client_fixture Fixture;
+  const quotas::pool_view Moved{{Fixture.Remote}, {}, true, {Other}};
+  std::optional<base::boot_time> WithdrawnAt;
+  for (auto Time = Start + 250ms; Time < Start + 8s; Time += 250ms) {
+    Fixture.Client.tick(Moved, Time);
+    for (const auto &[To, Request] : Fixture.Client.takeOutgoing())
+      if (Request.Delegation == delegation_change::Withdraw && !WithdrawnAt)
+        WithdrawnAt = Time;
+  }
+  CHECK(WithdrawnAt.has_value());
+  CHECK(*WithdrawnAt >= Start + 5s);
+}
+
 // Guards against messages that do not survive encoding, and against ones of
 // another kind, size or sign that end the process.
 TEST(quotas_tokens, MessagesAreEncodedAndChecked) {
