--- a/tests/support/quota_fleet.cpp
+++ b/tests/support/quota_fleet.cpp
@@ -64,13 +64,13 @@
 void quota_fleet::start(std::size_t Index) {
   restart(Index);
   const auto FirstSequence = static_cast<std::uint32_t>(Random());
-  Nodes[Index] = {std::make_unique<quotas::token_pool>(),
-                  std::make_unique<quotas::token_client>(
-                      Entries[Index].Own.MeshAddress, FirstSequence),
-                  {},
-                  false};
-  Nodes[Index].Client->setLimits(limits());
-  Nodes[Index].Pool->setLimits(limits(), Now);
+  node &Node = Nodes[Index];
+  Node = {};
+  Node.Pool = std::make_unique<quotas::token_pool>();
+  Node.Client = std::make_unique<quotas::token_client>(
+      Entries[Index].Own.MeshAddress, FirstSequence);
+  Node.Client->setLimits(limits());
+  Node.Pool->setLimits(limits(), Now);
 }
 
 void quota_fleet::pause(std::size_t Index) {
--- a/tests/unit-gateway-quotas.cpp
+++ b/tests/unit-gateway-quotas.cpp
@@ -73,6 +73,7 @@
 // when their quota ends while they wait.
 TEST(gateway_quotas, EachRequestGetsAResult) {
   std::vector<routing::team> Teams;
+  Teams.reserve(150);
   for (int I = 0; I < 150; ++I)
     Teams.push_back(
         teamWith("team" + std::to_string(I), routing::request_quota{1, 0}));
