--- a/tests/unit-routing-teams.cpp
+++ b/tests/unit-routing-teams.cpp
@@ -79,6 +79,7 @@
 // certain seed.
 TEST(routing_teams, KeysAreFoundUnderAnySeed) {
   std::vector<routing::team> Teams;
+  Teams.reserve(300);
   for (int I = 0; I < 300; ++I)
     Teams.push_back(
         makeTeam(std::to_string(I).c_str(),
@@ -124,7 +125,7 @@
 // Guards against a key of two teams, a name that adds a header of its own, and
 // findings that show a key.
 TEST(routing_teams, TeamsThatCannotBeUsedAreFound) {
-  const auto Finds = [](std::vector<routing::team> Teams) {
+  const auto Finds = [](const std::vector<routing::team> &Teams) {
     const auto Findings = routing::validateTeams(Teams, "/t");
     for (const base::finding &Finding : Findings)
       CHECK(Finding.Reason.find("secret") == std::string::npos);
