Let news of targets that may be cold come to an end

Cause: an entry took a message that was late by more than 100 ms for newer news, and relays passed it on; with late loops they told each other the same news without end.

Change: passed-on news state 500 ms less, and count as new only if they prolong the time by more than 800 ms. The test was not run on the code before.

--- a/src/gateway/detail/steering_state.cpp
+++ b/src/gateway/detail/steering_state.cpp
@@ -20,6 +20,9 @@
 /// for which they are: a message of its own tells of each, but may be lost.
 static constexpr std::size_t MaxLeavingInChanges = 8;
 static constexpr milliseconds LeavingRepeatTime{10000};
+/// By how much less time an entry passes on that a target may be cold, so that
+/// late messages do not prolong it.
+static constexpr milliseconds PassOnTime{500};
 
 steering_state::steering_state(placement::target_registry &TargetRegistry,
                                configuration_decoder Decoder,
@@ -257,8 +260,14 @@
       << "target=" << Update.Target.Id.str()
       << " source=entry confirmed=" << (Update.Finding == cold_finding::Cold)
       << " cold_ms=" << Update.ColdFor.count();
+  cold_notice PassedOn = Notice;
+  if (Update.Finding == cold_finding::MayBeCold && Notice.ColdUntil > Now) {
+    PassedOn.ColdUntil -= PassOnTime;
+    if (PassedOn.ColdUntil <= Now)
+      return;
+  }
   if (OnCold)
-    OnCold(Notice, true);
+    OnCold(PassedOn, true);
 }
 
 /// \param PassOn whether other entries may not have heard of them
--- a/src/placement/target_registry.cpp
+++ b/src/placement/target_registry.cpp
@@ -47,6 +47,10 @@
 
 /// Difference up to which two reports name the same cold time.
 static constexpr milliseconds ColdTimeTolerance{100};
+/// The same for the times until which a target may be cold. It is longer than
+/// messages between entries take: otherwise entries whose messages are late
+/// would tell each other the same news without end.
+static constexpr milliseconds MayBeColdTolerance{800};
 
 static const std::vector<target_state *> EmptyTargets;
 
@@ -138,7 +142,7 @@
     State->MayBeColdUntil = Now;
     return MayBeCold;
   }
-  if (Until <= State->MayBeColdUntil + ColdTimeTolerance)
+  if (MayBeCold && Until <= State->MayBeColdUntil + MayBeColdTolerance)
     return false;
   if (!isCold(*State, Now))
     State->ColdSendScheduled = false;
--- a/tests/unit-gateway-state.cpp
+++ b/tests/unit-gateway-state.cpp
@@ -5,6 +5,8 @@
 #include "gateway/detail/target_signals.hpp"
 #include "gateway/detail/watch_delay.hpp"
 
+#include <utility>
+
 // Last, because it redefines "new".
 #include <CppUTest/TestHarness.h>
 
@@ -59,6 +61,40 @@
   LONGS_EQUAL(12, State.routes()->version());
 }
 
+// Guards against entries that tell each other without end that a target may be
+// cold, because their messages are late: each takes the news for newer ones.
+TEST(gateway_state, NewsOfTargetsThatMayBeColdEnd) {
+  placement::target_registry OtherRegistry{{{Domain, base::region_name("r")}}};
+  steering_state Other{OtherRegistry, decode, 2s, [this] { return Now; }};
+  std::vector<std::string> ToOther;
+  std::vector<std::string> ToState;
+  const auto PublishTo = [this](std::vector<std::string> &Messages) {
+    return [this, &Messages](const gateway::detail::cold_notice &Notice, bool) {
+      Messages.push_back(gateway::detail::encode(gateway::detail::cold_update{
+          Notice.Target,
+          std::chrono::duration_cast<std::chrono::milliseconds>(
+              Notice.ColdUntil - Now),
+          Notice.Finding}));
+    };
+  };
+  State.setColdCallback(PublishTo(ToOther));
+  Other.setColdCallback(PublishTo(ToState));
+  publish("a", 1);
+  Other.apply(routing::target_published{makeTarget("a")}, 1);
+  State.recordCold({placement::incarnationOf(makeTarget("a")), Now + 2s,
+                    gateway::detail::cold_finding::MayBeCold});
+  unsigned Messages = 0;
+  while (Messages < 100 && !(ToOther.empty() && ToState.empty())) {
+    Now += 300ms;
+    for (const std::string &Message : std::exchange(ToOther, {}))
+      Other.adoptState(Message);
+    for (const std::string &Message : std::exchange(ToState, {}))
+      State.adoptState(Message);
+    ++Messages;
+  }
+  CHECK(Messages < 10);
+}
+
 // Guards against steering requests before a configuration and a target are
 // available.
 TEST(gateway_state, IsCompleteWithConfigurationAndTargets) {
