--- a/review/support-2/stand_ins.py
+++ b/review/support-2/stand_ins.py
@@ -384,6 +384,12 @@
         reply = await ask(self.ip, self.readiness, "GET", "/api/readyz", "", limit=limit)
         return reply.status == 200
 
+    def last_words(self):
+        """Returns the end of what the process wrote, without its decisions."""
+        with open(os.path.join(self.folder, "log"), encoding="utf-8", errors="replace") as file:
+            lines = [line.strip() for line in file if not line.startswith("{")]
+        return lines[-2:]
+
     def end(self):
         if self.process and self.process.poll() is None:
             self.process.send_signal(signal.SIGCONT)
