--- a/review/support-2/stand_ins.py
+++ b/review/support-2/stand_ins.py
@@ -5,6 +5,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -23,10 +24,19 @@
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 
 
-def free_port(ip):
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+def free_port(ip, taken=set()):
+    """Returns a port below those that the system gives to outgoing
+    connections, so that none of these takes it before the entry starts."""
+    while True:
+        port = random.randrange(12000, 30000)
+        with socket.socket() as probe:
+            try:
+                probe.bind((ip, port))
+            except OSError:
+                continue
+        if (ip, port) not in taken:
+            taken.add((ip, port))
+            return port
 
 
 class Record:
@@ -460,6 +470,8 @@
     record.write(f"TROUBLE={int(TROUBLE)}")
     loop = asyncio.new_event_loop()
     loop.set_exception_handler(lambda *_: None)
+    for stop in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(stop, lambda *_: sys.exit(COULD_NOT_RUN))
     result = COULD_NOT_RUN
     try:
         held = loop.run_until_complete(asyncio.wait_for(case(record), TIME_LIMIT_S))
