--- a/review/support-2/stand_ins.py
+++ b/review/support-2/stand_ins.py
@@ -303,7 +303,7 @@
 def reset_on_close(writer):
     """From now on closing the connection resets it."""
     connection = writer.get_extra_info("socket")
-    if connection:
+    if connection and connection.fileno() >= 0:
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
 
@@ -312,13 +312,6 @@
     writer.transport.abort()
 
 
-def close_cleanly(writer):
-    connection = writer.get_extra_info("socket")
-    if connection:
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 0, 0))
-    writer.close()
-
-
 def signature(identity, request):
     return f"Skylarkdyke-Response-Signature: {identity}.{request}"
 
