--- a/tests/support/platform_stand_in.cpp
+++ b/tests/support/platform_stand_in.cpp
@@ -3,6 +3,7 @@
 #include "skylarkdyke/base/base64.hpp"
 #include "skylarkdyke/net/http_server.hpp"
 #include "support/free_port.hpp"
+#include "support/query_field.hpp"
 
 #include <algorithm>
 #include <boost/asio/executor_work_guard.hpp>
@@ -13,6 +14,7 @@
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <future>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <thread>
@@ -77,14 +79,6 @@
   std::string FloodPiece;
 };
 
-std::string queryField(const std::string &Target, const std::string &Name) {
-  const std::size_t At = Target.find(Name + "=");
-  if (At == std::string::npos)
-    return {};
-  const std::size_t From = At + Name.size() + 1;
-  return Target.substr(From, Target.find('&', From) - From);
-}
-
 } // namespace
 
 struct platform_stand_in::impl {
@@ -123,6 +117,9 @@
   bool TurnsAllAway = false;
   bool IsSilent = false;
   std::size_t SilencedWatchCount = 0;
+  std::size_t PageSize = std::numeric_limits<std::size_t>::max();
+  store_fault Fault = store_fault::None;
+  store_calls Calls;
   std::map<std::string, std::unique_ptr<stand_in_target>> Targets;
   std::map<std::string, int> Runs;
   std::thread Thread;
@@ -173,16 +170,26 @@
 
 void platform_stand_in::impl::list(const pending &Request,
                                    const std::string &Target) {
+  ++Calls.Lists;
   const std::string Prefix = queryField(Target, "path_prefix");
+  const std::string After = Fault == store_fault::RepeatsPages
+                                ? std::string()
+                                : queryField(Target, "after");
   json Found = json::array();
   for (const auto &[Key, Item] : Items)
-    if (!Item.Deleted && Key.compare(0, Prefix.size(), Prefix) == 0)
+    if (!Item.Deleted && Key > After &&
+        Key.compare(0, Prefix.size(), Prefix) == 0)
       Found.push_back({{"key", Key},
                        {"value", base::encodeBase64(Item.Value)},
                        {"revision", Item.Revision}});
+  const bool HasMore = Found.size() > PageSize;
+  while (Found.size() > PageSize)
+    Found.erase(Found.size() - 1);
+  if (HasMore && Fault == store_fault::HidesKeys)
+    Found.back()["key"] = 7;
   Request->answer(net::makeResponse(
-      200,
-      json{{"items", Found}, {"has_more", false}, {"as_of", Revision}}.dump()));
+      200, json{{"items", Found}, {"has_more", HasMore}, {"as_of", Revision}}
+               .dump()));
 }
 
 bool platform_stand_in::impl::answerEvents(const pending &Request,
@@ -207,9 +214,15 @@
 
 void platform_stand_in::impl::watch(const pending &Request,
                                     const std::string &Target) {
+  ++Calls.Watches;
+  if (Fault == store_fault::ForgetsHistory)
+    return Request->answer(net::makeResponse(410));
   const std::uint64_t After = std::stoull(queryField(Target, "after"));
   if (answerEvents(Request, After))
     return;
+  if (Fault == store_fault::EndsWatches)
+    return Request->answer(net::makeResponse(
+        200, json{{"events", json::array()}, {"as_of", Revision}}.dump()));
   const auto Timer = std::make_shared<boost::asio::steady_timer>(
       Loop,
       std::chrono::milliseconds(std::stoul(queryField(Target, "wait_ms"))));
@@ -358,6 +371,18 @@
   return Impl->onLoop([this] { return Impl->SilencedWatchCount; });
 }
 
+void platform_stand_in::setPageSize(std::size_t ItemCount) {
+  Impl->onLoop([&] { return Impl->PageSize = ItemCount; });
+}
+
+void platform_stand_in::setFault(store_fault Fault) {
+  Impl->onLoop([&] { return Impl->Fault = Fault; });
+}
+
+store_calls platform_stand_in::calls() const {
+  return Impl->onLoop([this] { return Impl->Calls; });
+}
+
 void platform_stand_in::turnAllAway() {
   Impl->onLoop([&] { return Impl->TurnsAllAway = true; });
 }
--- a/tests/support/platform_stand_in.hpp
+++ b/tests/support/platform_stand_in.hpp
@@ -11,6 +11,25 @@
 
 namespace test_support {
 
+/// \brief How the store of a stand-in breaks its promises.
+enum class store_fault {
+  None,
+  /// Each page of a listing is the first one, and says that more follow.
+  RepeatsPages,
+  /// The last item of each page but the last has a number in place of its key.
+  HidesKeys,
+  /// Each watch is answered 410.
+  ForgetsHistory,
+  /// Each watch without changes is answered at once.
+  EndsWatches,
+};
+
+/// \brief Calls that a store has received.
+struct store_calls {
+  int Lists = 0;
+  int Watches = 0;
+};
+
 /// \brief Stand-in for the platform: its store and some targets, on a thread of
 /// its own. All calls are thread-safe.
 class platform_stand_in {
@@ -26,6 +45,11 @@
   void put(const std::string &Key, const std::string &Value);
   void remove(const std::string &Key);
 
+  /// \brief From now on a page of a listing has at most this many items.
+  void setPageSize(std::size_t ItemCount);
+  void setFault(store_fault Fault);
+  store_calls calls() const;
+
   /// \brief From now on the store answers 503 to everybody.
   void turnAllAway();
 
--- a/tests/support/served_entry.cpp
+++ b/tests/support/served_entry.cpp
@@ -7,6 +7,7 @@
 #include "support/wait_until.hpp"
 
 #include <fstream>
+#include <iterator>
 
 namespace test_support {
 
@@ -18,7 +19,7 @@
                            const std::optional<base::endpoint> &Seed,
                            const served_limits &Limits)
     : Front{"127.0.0.1", freePort()}, Readiness{"127.0.0.1", freePort()},
-      Mesh{"127.0.0.1", freePort()},
+      Mesh{"127.0.0.1", freePort()}, Metrics{"127.0.0.1", freePort()},
       Folder(std::filesystem::temp_directory_path() /
              ("skylarkdyke-served-" + std::to_string(Front.Port))) {
   std::filesystem::create_directories(Folder);
@@ -27,8 +28,8 @@
       << "\"\nzone = \"z\"\nregion = \"r\"\n"
       << "[self.limits]\ncpu_share = 0.2\nmax_fds = " << Limits.MaxDescriptors
       << "\nmemory_mb = " << Limits.MemoryMb << "\n"
-      << "[network]\nseeds = [\"" << base::toString(Seed.value_or(Mesh))
-      << "\"]\n"
+      << "[network]\nport_range = [" << Metrics.Port << ", " << Metrics.Port
+      << "]\nseeds = [\"" << base::toString(Seed.value_or(Mesh)) << "\"]\n"
       << "[network.bind]\nfront = \"" << base::toString(Front)
       << "\"\nreadiness = \"" << base::toString(Readiness) << "\"\ncontrol = \""
       << base::toString(Mesh) << "\"\n[network.zones]\nz = \"r\"\n"
@@ -57,6 +58,24 @@
   return Response && Response.value().Status == 200;
 }
 
+std::string served_entry::log() const {
+  std::ifstream File(Folder / "entry.log");
+  return {std::istreambuf_iterator<char>(File), {}};
+}
+
+double served_entry::metric(const std::string &Name) const {
+  http::request Request;
+  Request.Target = "/metrics";
+  const auto Response =
+      http::fetch(Metrics, Request, {base::boot_clock::now() + 1s, 1U << 20U});
+  if (!Response)
+    return 0;
+  const std::string Text = "\n" + Response.value().Body;
+  const std::size_t At = Text.find("\n" + Name + " ");
+  return At == std::string::npos ? 0
+                                 : std::stod(Text.substr(At + Name.size() + 2));
+}
+
 std::string servedRoutes(int Version, std::chrono::seconds Timeout,
                          int MaxAttempts) {
   const std::string Limits = std::to_string(Timeout.count()) +
--- a/tests/support/served_entry.hpp
+++ b/tests/support/served_entry.hpp
@@ -42,6 +42,14 @@
   const skylarkdyke::base::endpoint &front() const { return Front; }
   const skylarkdyke::base::endpoint &readiness() const { return Readiness; }
   const skylarkdyke::base::endpoint &mesh() const { return Mesh; }
+
+  /// \brief What the process has logged since its first start.
+  std::string log() const;
+
+  /// \brief Value of a metric of the process, 0 if it has none.
+  /// \param Name name with its labels, as in the text format
+  double metric(const std::string &Name) const;
+
   const std::filesystem::path &folder() const { return Folder; }
   process &program() { return *Process; }
 
@@ -49,6 +57,7 @@
   skylarkdyke::base::endpoint Front;
   skylarkdyke::base::endpoint Readiness;
   skylarkdyke::base::endpoint Mesh;
+  skylarkdyke::base::endpoint Metrics;
   std::filesystem::path Folder;
   std::optional<process> Process;
 };
--- /dev/null
+++ b/tests/system-serve-keys.cpp
@@ -0,0 +1,136 @@
+#include "support/platform_stand_in.hpp"
+#include "support/served_entry.hpp"
+#include "support/wait_until.hpp"
+
+#include <algorithm>
+#include <memory>
+#include <vector>
+
+// Last, because it redefines "new".
+#include <CppUTest/TestHarness.h>
+
+using namespace skylarkdyke;
+using namespace std::chrono_literals;
+using test_support::served_entry;
+using test_support::statusOf;
+using test_support::waitUntil;
+
+/// Value of a record that nobody can read.
+static const std::string Unreadable = "\xff\xfe cannot be read";
+
+static constexpr std::size_t PageSize = 5;
+/// Records whose names are alike but for the last character.
+static constexpr int OddRecords = 8;
+/// More than the pages of all listings in these tests, and few enough that a
+/// listing which is repeated without a pause exceeds it at once.
+static constexpr int MaxLists = 60;
+/// Records of another writer stand beside those of targets, with names of their
+/// own, and all entries start.
+TEST_GROUP(system_serve_keys) {
+  test_support::platform_stand_in Platform;
+  std::vector<std::unique_ptr<served_entry>> Entries;
+  /// Some sort between names with an odd character and the same names decoded.
+  const std::vector<std::string> Targets = {"a", "a-1", "a0", "aA9", "a~", "b"};
+
+  void setup() override {
+    Platform.setPageSize(PageSize);
+    Platform.put("op/config", test_support::servedRoutes(2));
+  }
+
+  void removeOddRecords(const std::string &Prefix, const std::string &Odd) {
+    for (int I = 0; I < OddRecords; ++I)
+      Platform.remove(Prefix + "a" + Odd + std::to_string(I));
+  }
+
+  /// Starts an entry that reads the store itself.
+  bool startEntry() {
+    Entries.push_back(std::make_unique<served_entry>(Platform.storeAddress()));
+    return Entries.back()->start();
+  }
+
+  std::string statusAt(const served_entry &Entry) const {
+    return statusOf(
+        test_support::askServed(Entry.front(), "GET", "/safe/a", "request"));
+  }
+
+  /// Whether each target serves a request within some seconds.
+  bool serveAll(const std::vector<std::string> &Ids) {
+    return waitUntil(
+        [&] {
+          for (const auto &Entry : Entries)
+            statusAt(*Entry);
+          return std::all_of(Ids.begin(), Ids.end(), [&](const auto &Id) {
+            return Platform.runsAt(Id) > 0;
+          });
+        },
+        10s);
+  }
+
+  /// Puts unreadable records whose names hold Odd, so that a page ends among
+  /// them, between targets. All names begin alike, up to Odd.
+  void putOddRecords(const std::string &Prefix, const std::string &Odd) {
+    for (int I = 0; I < OddRecords; ++I)
+      Platform.put(Prefix + "a" + Odd + std::to_string(I), Unreadable);
+  }
+
+  /// Starts two entries beside the records that putOddRecords() puts.
+  void checkStart(const std::string &Odd) {
+    for (const std::string &Target : Targets)
+      Platform.addTarget(Target, "orders", "z", 0ms);
+    for (const char *Prefix : {"servers/", "entries/", "blocked/"})
+      putOddRecords(Prefix, Odd);
+    const int ListsBefore = Platform.calls().Lists;
+    const bool FirstReady = startEntry();
+    const bool SecondReady = startEntry();
+    const int Lists = Platform.calls().Lists - ListsBefore;
+    const std::string Text =
+        "name \"" + Odd + "\", " + std::to_string(Lists) + " lists";
+    CHECK_TRUE_TEXT(Lists <= MaxLists, Text.c_str());
+    CHECK_TRUE_TEXT(FirstReady && SecondReady, Text.c_str());
+    CHECK_TRUE_TEXT(serveAll(Targets), Text.c_str());
+    for (const auto &Entry : Entries)
+      STRCMP_EQUAL("200", statusAt(*Entry).c_str());
+    Entries.clear();
+    for (const char *Prefix : {"servers/", "entries/", "blocked/"})
+      removeOddRecords(Prefix, Odd);
+  }
+};
+
+// Guards against a key that another writer has chosen, which ends or changes
+// the request for the next page: entries that start then never know all
+// targets.
+TEST(system_serve_keys, StartsBesideNamesWithAnAmpersand) { checkStart("&"); }
+TEST(system_serve_keys, StartsBesideNamesWithAPlus) { checkStart("+"); }
+TEST(system_serve_keys, StartsBesideNamesWithAHash) { checkStart("#"); }
+TEST(system_serve_keys, StartsBesideNamesWithABlank) { checkStart(" "); }
+
+// A percent sign begins what may be decoded: the listing then goes back, here
+// to "a 0", or skips names, here up to "aA".
+TEST(system_serve_keys, StartsBesideNamesWithAPercentSign) {
+  checkStart("%");
+  checkStart("%20");
+}
+TEST(system_serve_keys, StartsBesideNamesWithAPercentSignThatSkipNames) {
+  checkStart("%41");
+}
+
+TEST(system_serve_keys, StartsBesideNamesWithOtherOddCharacters) {
+  for (const char *Odd : {"?", "=", "\"", "\\", "\r\n", "\x01", "\x7f",
+                          "\xc3\xbc", "\xf0\x9f\x90\xa6", "&after=servers/z"})
+    checkStart(Odd);
+}
+
+// Guards against a record with an odd name that arrives while the entry
+// watches.
+TEST(system_serve_keys, WatchesBesideOddNames) {
+  Platform.addTarget("t1", "orders", "z", 0ms);
+  CHECK_TRUE(startEntry());
+  for (const char *Odd : {"&", "+", "#", "%", " ", "\r\n"}) {
+    putOddRecords("servers/", Odd);
+    Platform.remove(std::string("servers/a") + Odd + "1");
+  }
+  Platform.addTarget("t2", "orders", "z", 0ms);
+  CHECK_TRUE(serveAll({"t1", "t2"}));
+  LONGS_EQUAL(0, Entries.at(0)->metric("skylarkdyke_store_calls{kind=\"failed\""
+                                       "}"));
+}
