Log an unusable item of the store once, escaped, and count it

Operators saw: a record of another writer was logged again each time it was written or listed, a line break in its key broke the line of the log, and odd items under entries/ and blocked/ were left out without a trace.

Cause: the decoder of target records logged by itself, with the key as it was.

Why it works: item_decoder sees each item of listings and watches.

--- a/include/skylarkdyke/gateway/change_source.hpp
+++ b/include/skylarkdyke/gateway/change_source.hpp
@@ -42,13 +42,16 @@
   virtual void reportFailure(const std::string &Reason) = 0;
 };
 
-/// \brief Number of calls to the store since the start, by kind.
+/// \brief Number of calls to the store since the start, by kind, and what the
+/// responses held.
 struct store_call_counts {
   std::uint64_t Lists = 0;
   std::uint64_t Watches = 0;
   std::uint64_t Writes = 0;
   std::uint64_t Renewals = 0;
   std::uint64_t Failed = 0;
+  /// How often an item was read that could not be used.
+  std::uint64_t UnusableItems = 0;
 };
 
 /// \brief Watches the store for changes and registers this entry there.
--- a/src/gateway/detail/gauges.cpp
+++ b/src/gateway/detail/gauges.cpp
@@ -93,6 +93,9 @@
   setStoreCalls(Metrics, "write", Calls.Writes);
   setStoreCalls(Metrics, "renewal", Calls.Renewals);
   setStoreCalls(Metrics, "failed", Calls.Failed);
+  SetGauge("skylarkdyke_store_items_unusable",
+           "Times that an item of the store was read that cannot be used",
+           Calls.UnusableItems);
 }
 
 } // namespace skylarkdyke::gateway::detail
--- a/tests/system-serve-keys.cpp
+++ b/tests/system-serve-keys.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <thread>
 #include <vector>
 
 // Last, because it redefines "new".
@@ -94,6 +95,15 @@
     for (const char *Prefix : {"servers/", "entries/", "blocked/"})
       removeOddRecords(Prefix, Odd);
   }
+
+  std::size_t linesWith(const std::string &Text) const {
+    const std::string Log = Entries.at(0)->log();
+    std::size_t Count = 0;
+    for (std::size_t At = Log.find(Text); At != std::string::npos;
+         At = Log.find(Text, At + 1))
+      ++Count;
+    return Count;
+  }
 };
 
 // Guards against a key that another writer has chosen, which ends or changes
@@ -134,3 +144,25 @@
   LONGS_EQUAL(0, Entries.at(0)->metric("skylarkdyke_store_calls{kind=\"failed\""
                                        "}"));
 }
+
+// Guards against a log that a record of another writer fills, or whose lines it
+// breaks, and against records that are left out without a trace.
+TEST(system_serve_keys, AnUnusableItemIsLoggedOnceAndCounted) {
+  Platform.addTarget("t1", "orders", "z", 0ms);
+  Platform.put("entries/odd entry", Unreadable);
+  Platform.put("blocked/odd block", "{}");
+  CHECK_TRUE(startEntry());
+  for (int I = 0; I < 5; ++I) {
+    Platform.put("servers/odd\nname", Unreadable);
+    std::this_thread::sleep_for(400ms);
+  }
+  CHECK_TRUE(waitUntil(
+      [&] {
+        return Entries.at(0)->metric("skylarkdyke_store_items_unusable") >= 7;
+      },
+      3s));
+  LONGS_EQUAL(1, linesWith("key=servers/odd%0Aname"));
+  LONGS_EQUAL(1, linesWith("key=entries/odd%20entry"));
+  LONGS_EQUAL(1, linesWith("key=blocked/odd%20block"));
+  LONGS_EQUAL(0, linesWith("\nname"));
+}
