Let each request of system_serve_keys be for another object

Cause: all requests had one id and no affinity key, so that they were for one object and went to one target; the others served only what was hedged or placed elsewhere by chance. The fault was the test's.

The check is the same: each target must serve.

--- a/tests/system-serve-keys.cpp
+++ b/tests/system-serve-keys.cpp
@@ -30,6 +30,7 @@
 TEST_GROUP(system_serve_keys) {
   test_support::platform_stand_in Platform;
   std::vector<std::unique_ptr<served_entry>> Entries;
+  int RequestCount = 0;
   /// Some sort between names with an odd character and the same names decoded.
   const std::vector<std::string> Targets = {"a", "a-1", "a0", "aA9", "a~", "b"};
 
@@ -49,9 +50,11 @@
     return Entries.back()->start();
   }
 
-  std::string statusAt(const served_entry &Entry) const {
+  /// Each request is for another object, so that all targets get some.
+  std::string statusAt(const served_entry &Entry) {
+    const std::string Id = "request" + std::to_string(++RequestCount);
     return statusOf(
-        test_support::askServed(Entry.front(), "GET", "/safe/a", "request"));
+        test_support::askServed(Entry.front(), "GET", "/safe/a", Id));
   }
 
   /// Whether each target serves a request within some seconds.
