--- a/tests/system-serve-keys.cpp
+++ b/tests/system-serve-keys.cpp
@@ -1,4 +1,5 @@
 #include "support/platform_stand_in.hpp"
+#include "support/scripted_target.hpp"
 #include "support/served_entry.hpp"
 #include "support/wait_until.hpp"
 
@@ -169,3 +170,21 @@
   LONGS_EQUAL(1, linesWith("key=blocked/odd%20block"));
   LONGS_EQUAL(0, linesWith("\nname"));
 }
+
+// Guards against a record under an odd name that is used because it looks like
+// that of a target: such a name belongs to another writer, and it could end a
+// header line of the request.
+TEST(system_serve_keys, NoTargetHasAnOddName) {
+  Platform.addTarget("t1", "orders", "z", 0ms);
+  const test_support::scripted_target Copy(
+      [](const test_support::scripted_request &Request) { Request.close(); });
+  CHECK_TRUE(startEntry());
+  for (const char *Odd : {"&", "+", "#", "%", " ", "\r\nX-Odd: y", "\xc3\xbc"})
+    Platform.put(std::string("servers/a") + Odd,
+                 test_support::servedTarget(Copy.address()));
+  Platform.addTarget("t2", "orders", "z", 0ms);
+  CHECK_TRUE(serveAll({"t1", "t2"}));
+  for (int I = 0; I < 20; ++I)
+    STRCMP_EQUAL("200", statusAt(*Entries.at(0)).c_str());
+  LONGS_EQUAL(0, Copy.connections());
+}
