--- a/tests/system-serve-keys.cpp
+++ b/tests/system-serve-keys.cpp
@@ -15,6 +15,8 @@
 using namespace std::chrono_literals;
 using test_support::served_entry;
 using test_support::statusOf;
+using test_support::store_calls;
+using test_support::store_fault;
 using test_support::waitUntil;
 
 /// Value of a record that nobody can read.
@@ -26,6 +28,10 @@
 /// More than the pages of all listings in these tests, and few enough that a
 /// listing which is repeated without a pause exceeds it at once.
 static constexpr int MaxLists = 60;
+/// Calls that an entry makes at most in a second while each of them fails or
+/// brings nothing new: the shortest pause is 75 ms.
+static constexpr int MaxCallsPerSecond = 30;
+
 /// Records of another writer stand beside those of targets, with names of their
 /// own, and all entries start.
 TEST_GROUP(system_serve_keys) {
@@ -100,6 +106,16 @@
       removeOddRecords(Prefix, Odd);
   }
 
+  /// Calls of one second while the store has a fault.
+  store_calls callsDuring(store_fault Fault) {
+    Platform.setFault(Fault);
+    std::this_thread::sleep_for(500ms);
+    const store_calls Before = Platform.calls();
+    std::this_thread::sleep_for(1s);
+    const store_calls After = Platform.calls();
+    return {After.Lists - Before.Lists, After.Watches - Before.Watches};
+  }
+
   std::size_t linesWith(const std::string &Text) const {
     const std::string Log = Entries.at(0)->log();
     std::size_t Count = 0;
@@ -188,3 +204,33 @@
     STRCMP_EQUAL("200", statusAt(*Entries.at(0)).c_str());
   LONGS_EQUAL(0, Copy.connections());
 }
+
+// Guards against a listing that is cut short because the last item of a page
+// has no key: the targets on later pages would be missing.
+TEST(system_serve_keys, AnItemWithoutAKeyEndsNoListing) {
+  Platform.setFault(store_fault::HidesKeys);
+  std::vector<std::string> Ids;
+  for (int I = 10; I < 22; ++I) {
+    Ids.push_back("t" + std::to_string(I));
+    Platform.addTarget(Ids.back(), "orders", "z", 0ms);
+  }
+  CHECK_TRUE(startEntry());
+  CHECK_TRUE(serveAll(Ids));
+}
+
+// Guards against a store that is called without a pause while nothing is won by
+// it.
+TEST(system_serve_keys, AListingWithoutProgressIsRepeatedWithPauses) {
+  Platform.addTarget("t1", "orders", "z", 0ms);
+  for (int I = 0; I < 8; ++I)
+    Platform.put("servers/u" + std::to_string(I), Unreadable);
+  Platform.setFault(store_fault::RepeatsPages);
+  std::thread Starting([this] { startEntry(); });
+  const store_calls Calls = callsDuring(store_fault::RepeatsPages);
+  Platform.setFault(store_fault::None);
+  Starting.join();
+  CHECK_TRUE_TEXT(Calls.Lists <= MaxCallsPerSecond,
+                  std::to_string(Calls.Lists).c_str());
+  CHECK_TRUE(Calls.Lists > 0);
+  CHECK_TRUE(serveAll({"t1"}));
+}
