--- a/tests/system-serve-keys.cpp
+++ b/tests/system-serve-keys.cpp
@@ -246,3 +246,15 @@
   Platform.addTarget("t2", "orders", "z", 0ms);
   CHECK_TRUE(serveAll({"t1", "t2"}));
 }
+
+TEST(system_serve_keys, WatchesThatEndAtOnceAreRepeatedWithPauses) {
+  Platform.addTarget("t1", "orders", "z", 0ms);
+  CHECK_TRUE(startEntry());
+  const store_calls Calls = callsDuring(store_fault::EndsWatches);
+  Platform.setFault(store_fault::None);
+  CHECK_TRUE_TEXT(Calls.Watches <= MaxCallsPerSecond,
+                  std::to_string(Calls.Watches).c_str());
+  CHECK_TRUE(Calls.Watches > 0);
+  Platform.addTarget("t2", "orders", "z", 0ms);
+  CHECK_TRUE(serveAll({"t1", "t2"}));
+}
