--- a/tests/system-serve-faults.cpp
+++ b/tests/system-serve-faults.cpp
@@ -1,7 +1,4 @@
-#include "support/platform_stand_in.hpp"
-#include "support/scripted_target.hpp"
-#include "support/served_entry.hpp"
-#include "support/wait_until.hpp"
+#include "support/lone_target_fixture.hpp"
 
 #include <array>
 #include <atomic>
@@ -36,37 +33,7 @@
          "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
 }
 
-TEST_GROUP(system_serve_faults) {
-  test_support::platform_stand_in Platform;
-  test_support::served_entry Entry{Platform.storeAddress()};
-  int TargetCount = 0;
-
-  void start() {
-    Platform.put("op/config", test_support::servedRoutes(2));
-    Platform.addUnreachableTarget("t0", "orders", "z");
-    CHECK_TRUE(Entry.start());
-  }
-
-  /// Replaces all targets by this one.
-  void useOnly(const scripted_target &Target) {
-    const std::string Key = "servers/t";
-    Platform.put(Key + std::to_string(++TargetCount),
-                 test_support::servedTarget(Target.address()));
-    Platform.remove(Key + std::to_string(TargetCount - 1));
-    CHECK_TRUE(waitUntil(
-        [&] {
-          return statusOf(ask("GET", "/safe/ready", "ready")) == "200" &&
-                 Target.received("/safe/ready") > 0;
-        },
-        5s));
-  }
-
-  std::string ask(const std::string &Method, const std::string &Path,
-                  const std::string &Id, int DeadlineMs = 2000) const {
-    return test_support::askServed(Entry.front(), Method, Path, Id,
-                                   std::chrono::milliseconds(DeadlineMs));
-  }
-};
+TEST_GROUP_BASE(system_serve_faults, test_support::lone_target_fixture){};
 
 namespace {
 
