Take no reset during an upload for the end of an answer

Cause: the kernel reports the loss of a connection to one call only. The write got ECONNRESET, which was dropped, and the read that followed saw a plain end, which delimits a body without a length.

Evidence: system_serve_uploads.AnAnswerThatIsResetDuringAnUploadIsNoSuccess, 14 pauses between answer and reset, two routes, HTTP/1.1 and 1.0.

Why it works: both clients remember that a write found the connection lost. An end that is read then is a truncated answer: cut if it was passed on, else 502 or another target. A broken pipe is no loss: it follows the orderly end of what the peer sends, which AnAnswerThatEndsInOrderDuringAnUploadIsWhole keeps whole.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -202,11 +202,13 @@
         HasNoBody(HasNoBody) {}
 
   /// Reads until Done; then Fault tells whether the answer is whole.
-  void start() {
-    Parser.emplace();
-    Parser->body_limit(MaxAnswerBytes);
-    Parser->skip(HasNoBody);
-    readSome();
+  /// \param WriteResult result of the write of the request
+  void start(const error_code &WriteResult) {
+    // The kernel reports the loss of a connection once. If a write got the
+    // report, a read sees an end as if the peer had closed in order. A broken
+    // pipe follows an orderly end of what the peer sends.
+    ConnectionLost = WriteResult && WriteResult != asio::error::broken_pipe;
+    readHead();
   }
 
   bool Done = false;
@@ -214,6 +216,13 @@
   std::optional<beast::http::response_parser<beast::http::string_body>> Parser;
 
 private:
+  void readHead() {
+    Parser.emplace();
+    Parser->body_limit(MaxAnswerBytes);
+    Parser->skip(HasNoBody);
+    readSome();
+  }
+
   void readSome() {
     // The head is read by itself (eager is not set yet): otherwise Boost.Beast
     // would allocate an announced body before it reports that it is too large.
@@ -245,8 +254,10 @@
     if (Status == SwitchingProtocols)
       return finish(exchange_fault::Malformed);
     if (Status < FirstFinalStatus)
-      return start();
+      return readHead();
     HasHead = true;
+    if (Parser->is_done() && Parser->need_eof() && ConnectionLost)
+      return finish(exchange_fault::Truncated);
     if (Parser->is_done())
       return finish(std::nullopt);
     // Counts the chunked coding, too, which takes part of a link's cap.
@@ -269,6 +280,8 @@
   std::size_t MaxAnswerBytes;
   bool HasNoBody;
   bool HasHead = false;
+  /// A write found that the connection had ended, but not in order.
+  bool ConnectionLost = false;
   /// Bytes of the answer and of the interim answers so far.
   std::size_t Received = 0;
 };
@@ -304,8 +317,7 @@
                            [&](error_code Result, std::size_t) {
                              // A write error is not final: the peer may have
                              // answered before closing its side.
-                             (void)Result;
-                             Reader.start();
+                             Reader.start(Result);
                            });
   const auto Interrupted =
       Conn.runUntil(Reader.Done, Limits.Deadline, CallerLeft);
--- a/src/net/http_channel.cpp
+++ b/src/net/http_channel.cpp
@@ -192,6 +192,8 @@
   bool Open = false;
   bool Reusable = false;
   bool RequestWritten = false;
+  /// A write found that the connection had ended, but not in order.
+  bool ConnectionLost = false;
   bool SendStarted = false;
   bool UnexpectedBytes = false;
   base::boot_time ReusableUntil{};
@@ -236,6 +238,7 @@
   State.Paused = false;
   State.Reusable = false;
   State.RequestWritten = false;
+  State.ConnectionLost = false;
   State.SendStarted = false;
   State.ReceivedBytes = 0;
   State.SkippedResponses = 0;
@@ -299,13 +302,18 @@
   setTimer(Self, Limits.Deadline, channel_fault::DeadlinePassed);
   const auto Outgoing = std::make_shared<outgoing_request>(
       std::move(Request.base()), std::exchange(RequestBody, nullptr));
-  // A write error is not reported: the peer may have sent a response before
-  // it closed the connection.
+  // A write error does not end the call: the peer may have sent a response
+  // before it closed the connection.
   beast::http::async_write(Socket, Outgoing->Message,
                            [this, Self, Outgoing, Id = CallId](
                                const error_code &Result, std::size_t) {
-                             if (Id == CallId && !Result)
-                               RequestWritten = true;
+                             if (Id != CallId)
+                               return;
+                             RequestWritten = !Result;
+                             // A broken pipe follows an orderly end of what the
+                             // peer sends.
+                             ConnectionLost =
+                                 Result && Result != asio::error::broken_pipe;
                            });
   readResponse(Self);
 }
@@ -365,7 +373,9 @@
   if (!Failure)
     return parse(Self);
   error_code Result = Failure;
-  if (Failure == asio::error::eof && Parser->got_some())
+  // The kernel reports the loss of a connection once. If a write got the
+  // report, a read sees an end as if the peer had closed in order.
+  if (Failure == asio::error::eof && Parser->got_some() && !ConnectionLost)
     Parser->put_eof(Result);
   if (Result)
     return fail(faultOf(Result, Parser->got_some()));
--- a/tests/support/scripted_target.cpp
+++ b/tests/support/scripted_target.cpp
@@ -19,6 +19,8 @@
 using skylarkdyke::base::endpoint;
 
 static constexpr const char *HeaderEnd = "\r\n\r\n";
+/// Receive buffer of connections on which bodies are not read.
+static constexpr int SmallReceiveBuffer = 4096;
 
 std::string scripted_request::field(const std::string &Name) const {
   std::size_t From = Header.find("\r\n");
@@ -35,6 +37,10 @@
   return {};
 }
 
+std::size_t scripted_request::bodyLength() const {
+  return std::strtoul(field("Content-Length").c_str(), nullptr, 10);
+}
+
 std::string scripted_request::path() const {
   const std::size_t From = Header.find(' ') + 1;
   return Header.substr(From, Header.find(' ', From) - From);
@@ -45,6 +51,8 @@
       ::send(Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
 }
 
+void scripted_request::endSending() const { shutdown(Socket, SHUT_WR); }
+
 void scripted_request::close() const { shutdown(Socket, SHUT_RDWR); }
 
 void scripted_request::reset() const {
@@ -62,6 +70,7 @@
 
   endpoint Address{"127.0.0.1", freePort()};
   handler OnRequest;
+  answer_time Time = answer_time::AfterBody;
   int Listener = -1;
   mutable std::mutex Mutex;
   std::map<std::string, int> Received;
@@ -70,7 +79,7 @@
   std::thread Acceptor;
 };
 
-/// Reads a whole request with its body.
+/// Reads a request, with its body if that comes before the answer.
 bool scripted_target::impl::readRequest(int Socket, std::string &Buffer,
                                         std::string &Header) const {
   std::array<char, 4096> Part{};
@@ -79,9 +88,9 @@
     const std::size_t End = Buffer.find(HeaderEnd);
     if (End != std::string::npos && Needed == std::string::npos) {
       Header = Buffer.substr(0, End + 2);
-      const std::string Length =
-          scripted_request(Socket, Header, 0).field("Content-Length");
-      Needed = End + 4 + std::strtoul(Length.c_str(), nullptr, 10);
+      Needed = End + 4;
+      if (Time == answer_time::AfterBody)
+        Needed += scripted_request(Socket, Header, 0).bodyLength();
     }
     if (Buffer.size() >= Needed) {
       Buffer.erase(0, Needed);
@@ -104,6 +113,8 @@
       ++Received[Request.path()];
     }
     OnRequest(Request);
+    if (Time == answer_time::AfterHeader && Request.bodyLength() > 0)
+      return;
   }
 }
 
@@ -120,12 +131,16 @@
   }
 }
 
-scripted_target::scripted_target(handler OnRequest)
+scripted_target::scripted_target(handler OnRequest, answer_time Time)
     : Impl(std::make_unique<impl>()) {
   Impl->OnRequest = std::move(OnRequest);
+  Impl->Time = Time;
   Impl->Listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int One = 1;
   setsockopt(Impl->Listener, SOL_SOCKET, SO_REUSEADDR, &One, sizeof(One));
+  if (Time == answer_time::AfterHeader)
+    setsockopt(Impl->Listener, SOL_SOCKET, SO_RCVBUF, &SmallReceiveBuffer,
+               sizeof(SmallReceiveBuffer));
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
   Address.sin_port = htons(Impl->Address.Port);
--- a/tests/support/scripted_target.hpp
+++ b/tests/support/scripted_target.hpp
@@ -22,6 +22,9 @@
   /// \brief All lines of the header.
   const std::string &header() const { return Header; }
 
+  /// \brief Length of the body that the header states, or 0.
+  std::size_t bodyLength() const;
+
   /// \brief Path with query.
   std::string path() const;
 
@@ -31,6 +34,9 @@
   /// \brief Sends exactly these bytes.
   void send(const std::string &Bytes) const;
 
+  /// \brief Ends the sending side of the connection, in order.
+  void endSending() const;
+
   /// \brief Ends the connection after the bytes sent so far, or with a reset.
   void close() const;
   void reset() const;
@@ -41,6 +47,14 @@
   unsigned Number;
 };
 
+/// \brief When a scripted target answers a request.
+enum class answer_time {
+  AfterBody,
+  /// Right after the header. Of a request with a body, nothing more is read,
+  /// and the kernel takes little of it.
+  AfterHeader,
+};
+
 /// \brief TCP server that answers each request with exactly the bytes that a
 /// handler sends. Each connection has a thread of its own.
 class scripted_target {
@@ -48,7 +62,8 @@
   /// \brief Called for each request. It must be thread-safe.
   using handler = std::function<void(const scripted_request &)>;
 
-  explicit scripted_target(handler OnRequest);
+  explicit scripted_target(handler OnRequest,
+                           answer_time Time = answer_time::AfterBody);
   ~scripted_target();
   scripted_target(const scripted_target &) = delete;
   scripted_target &operator=(const scripted_target &) = delete;
--- /dev/null
+++ b/tests/system-serve-uploads.cpp
@@ -0,0 +1,123 @@
+#include "support/lone_target_fixture.hpp"
+#include "support/raw_client.hpp"
+
+#include <thread>
+#include <vector>
+
+// Last, because it redefines "new".
+#include <CppUTest/TestHarness.h>
+
+using namespace skylarkdyke;
+using namespace std::chrono_literals;
+using test_support::scripted_request;
+using test_support::scripted_target;
+using test_support::statusOf;
+using test_support::waitUntil;
+
+static const std::string Ok = "HTTP/1.1 200 OK\r\n";
+
+/// Lines that sign a response and name its request.
+static std::string ownLines(const scripted_request &Request) {
+  return "Skylarkdyke-Response-Signature: signed\r\n"
+         "Skylarkdyke-Request-Id: " +
+         Request.requestId() + "\r\n";
+}
+
+static std::string withLength(const std::string &Body) {
+  return "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+static std::string success(const scripted_request &Request) {
+  return Ok + ownLines(Request) + withLength("answer to " + Request.path());
+}
+
+TEST_GROUP_BASE(system_serve_uploads, test_support::lone_target_fixture){
+    /// Sends an upload that does not fit the buffers of a connection.
+    std::string upload(const std::string &Path, const std::string &Version){
+        const test_support::raw_client Client(Entry.front());
+Client.send("POST " + Path + " " + Version +
+            "\r\nHost: h.example\r\nConnection: close\r\n"
+            "Skylarkdyke-Request-Id: upload\r\n"
+            "Skylarkdyke-Request-Deadline: 2000\r\nContent-Length: " +
+            std::to_string(MaxBodyBytes) + "\r\n\r\n");
+Client.send(std::string(MaxBodyBytes, 'u'));
+std::string Response;
+waitUntil(
+    [&] {
+      Response += Client.receive();
+      return Client.isClosed();
+    },
+    5s);
+return Response;
+}
+}
+;
+
+static const std::string HalfOfABody = "half of a body";
+
+/// Whether a response to an upload could be taken for a whole one: a caller of
+/// HTTP/1.1 sees the last chunk or all bytes of a stated length.
+static bool looksWhole(const std::string &Response) {
+  if (statusOf(Response) != "200")
+    return false;
+  const bool IsChunked =
+      Response.find("Transfer-Encoding: chunked") != std::string::npos;
+  const std::string LastChunk = "0\r\n\r\n";
+  return !IsChunked || (Response.size() > LastChunk.size() &&
+                        Response.compare(Response.size() - LastChunk.size(),
+                                         LastChunk.size(), LastChunk) == 0);
+}
+
+// Guards against the end of a connection that was reset during an upload and is
+// taken for the end of a body without a length: the write that fails takes the
+// error, and the read sees a plain end. When that happens depends on the time.
+TEST(system_serve_uploads, AnAnswerThatIsResetDuringAnUploadIsNoSuccess) {
+  start();
+  int Count = 0;
+  for (const auto Pause : {0ms, 1ms, 3ms, 10ms, 30ms, 100ms, 300ms, 0ms, 1ms,
+                           3ms, 10ms, 30ms, 100ms, 300ms})
+    for (const std::string Route : {"/once/", "/safe/"})
+      for (const std::string Version : {"HTTP/1.1", "HTTP/1.0"}) {
+        const std::string Path = Route + "upload" + std::to_string(++Count);
+        const scripted_target Target(
+            [&](const scripted_request &Request) {
+              if (Request.path() != Path)
+                return Request.send(success(Request));
+              Request.send(Ok + ownLines(Request) + "\r\n" + HalfOfABody);
+              std::this_thread::sleep_for(Pause);
+              Request.reset();
+            },
+            test_support::answer_time::AfterHeader);
+        useOnly(Target);
+        const std::string Response = upload(Path, Version);
+        const std::string Name = Path + " " + Version + " after " +
+                                 std::to_string(Pause.count()) + " ms:\n" +
+                                 Response;
+        CHECK_TEXT(Target.received(Path) > 0, Name.c_str());
+        CHECK_TEXT(!looksWhole(Response), Name.c_str());
+      }
+}
+
+// Guards against a check for resets that also breaks whole answers: the target
+// ends its side in order while the upload is still being written.
+TEST(system_serve_uploads, AnAnswerThatEndsInOrderDuringAnUploadIsWhole) {
+  start();
+  int Count = 0;
+  for (const auto Pause : {0ms, 10ms, 100ms}) {
+    const std::string Path = "/once/early" + std::to_string(++Count);
+    const scripted_target Target(
+        [&](const scripted_request &Request) {
+          if (Request.path() != Path)
+            return Request.send(success(Request));
+          Request.send(Ok + ownLines(Request) + "\r\n" + HalfOfABody);
+          std::this_thread::sleep_for(Pause);
+          Request.endSending();
+          std::this_thread::sleep_for(200ms);
+        },
+        test_support::answer_time::AfterHeader);
+    useOnly(Target);
+    const std::string Response = upload(Path, "HTTP/1.1");
+    CHECK_TEXT(looksWhole(Response), Response.c_str());
+    STRCMP_CONTAINS(HalfOfABody.c_str(), Response.c_str());
+  }
+}
--- a/tests/unit-http-cut-responses.cpp
+++ b/tests/unit-http-cut-responses.cpp
@@ -4,6 +4,8 @@
 
 #include <mutex>
 #include <optional>
+#include <thread>
+#include <utility>
 #include <vector>
 
 // Last, because it redefines "new".
@@ -70,12 +72,16 @@
 
   /// Whether the client of the platform's engine takes the response for whole.
   bool isWholeToChannel(const std::string &Method) {
-    const auto Channel =
-        net::http_channel::create(Loop, Target.address(), Memory);
-    std::optional<net::call_result> Result;
     net::http_request Request;
     Request.method_string(Method);
+    return isWholeToChannel(Target.address(), std::move(Request));
+  }
+
+  bool isWholeToChannel(const base::endpoint &Peer, net::http_request Request) {
+    const auto Channel = net::http_channel::create(Loop, Peer, Memory);
+    std::optional<net::call_result> Result;
     Request.target("/");
+    Request.prepare_payload();
     const auto Deadline = base::boot_clock::now() + 5s;
     Channel->call(
         std::move(Request), {Deadline, Deadline},
@@ -97,8 +103,12 @@
   bool isWholeToClient(const std::string &Method) const {
     http::request Request;
     Request.Method = Method;
-    return http::fetch(Target.address(), Request,
-                       {base::boot_clock::now() + 5s, 1U << 16U})
+    return isWholeToClient(Target.address(), Request);
+  }
+
+  static bool isWholeToClient(const base::endpoint &Peer,
+                              const http::request &Request) {
+    return http::fetch(Peer, Request, {base::boot_clock::now() + 5s, 1U << 16U})
         .has_value();
   }
 
@@ -130,3 +140,30 @@
     for (std::size_t Size = 0; Size < Response.Bytes.size(); ++Size)
       check(Response, Size, true, false);
 }
+
+// Guards against the same after a reset that a write of the request found: the
+// read behind it sees a plain end.
+TEST(http_cut_responses, AResetDuringAnUploadIsAFault) {
+  constexpr std::size_t UploadBytes = 16U << 20U;
+  for (const auto Pause : {0ms, 3ms, 30ms, 100ms}) {
+    const test_support::scripted_target Early(
+        [&](const scripted_request &Request) {
+          Request.send("HTTP/1.1 200 OK\r\nX-Signature: signed\r\n\r\nhalf");
+          std::this_thread::sleep_for(Pause);
+          Request.reset();
+        },
+        test_support::answer_time::AfterHeader);
+    net::http_request ChannelRequest;
+    ChannelRequest.method(boost::beast::http::verb::post);
+    ChannelRequest.body() = std::string(UploadBytes, 'u');
+    http::request ClientRequest;
+    ClientRequest.Method = "POST";
+    ClientRequest.Body = ChannelRequest.body();
+    const std::string Text = "reset after " + std::to_string(Pause.count());
+    CHECK_FALSE_TEXT(
+        isWholeToChannel(Early.address(), std::move(ChannelRequest)),
+        Text.c_str());
+    CHECK_FALSE_TEXT(isWholeToClient(Early.address(), ClientRequest),
+                     Text.c_str());
+  }
+}
