--- a/src/net/http_channel.cpp
+++ b/src/net/http_channel.cpp
@@ -1,18 +1,14 @@
 #include "skylarkdyke/net/http_channel.hpp"
 
+#include "net/detail/response_parser.hpp"
 #include "skylarkdyke/net/one_shot_timer.hpp"
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/beast/core/buffers_range.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/error.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cstdlib>
-#include <limits>
 #include <netinet/tcp.h>
 #include <optional>
 #include <sys/socket.h>
@@ -25,15 +21,6 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
-/// Size of the first read of a response: most responses fit.
-static constexpr std::size_t FirstReadBytes = 2048;
-/// Minimum size of any other read.
-static constexpr std::size_t MinReadBytes = 512;
-/// Maximum size of a response header.
-static constexpr std::uint32_t MaxHeaderBytes = 8192;
-/// Maximum size of what must be read as a whole: a header, the line before a
-/// chunk, or the trailers.
-static constexpr std::size_t MaxBufferBytes = 16384;
 /// Maximum number of interim responses and responses to other requests that
 /// are skipped in one call.
 static constexpr unsigned MaxSkippedResponses = 16;
@@ -83,35 +70,6 @@
 
 namespace {
 
-/// String body that grows with the bytes received. Beast's string_body reserves
-/// the whole Content-Length, which a peer may state at will.
-struct growing_body {
-  using value_type = std::string;
-
-  class reader {
-  public:
-    template <class Header> reader(Header &, value_type &Body) : Body(Body) {}
-    // Beast requires the names of these functions.
-    // NOLINTBEGIN
-    template <class Length> void init(const Length &, error_code &Failure) {
-      Failure = {};
-    }
-    template <class Buffers>
-    std::size_t put(const Buffers &Bytes, error_code &Failure) {
-      Failure = {};
-      const std::size_t OldSize = Body.size();
-      for (const auto Part : beast::buffers_range_ref(Bytes))
-        Body.append(static_cast<const char *>(Part.data()), Part.size());
-      return Body.size() - OldSize;
-    }
-    void finish(error_code &Failure) { Failure = {}; }
-    // NOLINTEND
-
-  private:
-    value_type &Body;
-  };
-};
-
 /// A request that is being written.
 struct outgoing_request {
   using message = beast::http::request<beast::http::span_body<const char>>;
@@ -130,12 +88,9 @@
 } // namespace
 
 struct http_channel::impl {
-  using parser = beast::http::response_parser<growing_body>;
-
   impl(asio::io_context &Loop, const base::endpoint &Peer,
        response_memory &Memory)
-      : Loop(Loop), Socket(Loop), Timer(Loop), Peer(Peer), Memory(Memory),
-        Buffer(MaxBufferBytes) {}
+      : Loop(Loop), Socket(Loop), Timer(Loop), Peer(Peer), Memory(Memory) {}
 
   void startConnect(const std::shared_ptr<http_channel> &Self);
   void startExchange(const std::shared_ptr<http_channel> &Self);
@@ -169,8 +124,7 @@
   one_shot_timer Timer;
   base::endpoint Peer;
   response_memory &Memory;
-  beast::flat_buffer Buffer;
-  std::optional<parser> Parser;
+  detail::response_parser Response;
   /// Request without its body.
   http_request Request;
   /// Body of the request until it is written.
@@ -185,7 +139,7 @@
   /// Bytes of all responses read in the current call.
   std::size_t ReceivedBytes = 0;
   unsigned SkippedResponses = 0;
-  /// A read that uses Parser and Buffer is pending.
+  /// A read that uses Response is pending.
   bool ReadPending = false;
   /// A piece was delivered, and resume() has not been called yet.
   bool Paused = false;
@@ -321,27 +275,19 @@
 void http_channel::impl::readResponse(
     const std::shared_ptr<http_channel> &Self) {
   Use.reset();
-  Parser.emplace();
-  Parser->header_limit(MaxHeaderBytes);
-  // exceedsLimit() checks the size, which is not limited for streamed bodies.
-  Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-  Parser->eager(true);
-  if (Request.method() == beast::http::verb::head)
-    Parser->skip(true);
-  Buffer.reserve(FirstReadBytes);
-  if (Buffer.size() > 0)
+  Response.start(Request.method() == beast::http::verb::head);
+  if (Response.hasBytes())
     return parse(Self);
   readMore(Self);
 }
 
 void http_channel::impl::readMore(const std::shared_ptr<http_channel> &Self) {
-  const std::size_t Room = Buffer.max_size() - Buffer.size();
-  if (Room == 0)
+  const asio::mutable_buffer Space = Response.prepare();
+  if (Space.size() == 0)
     return fail(channel_fault::ExcessBytes);
-  const std::size_t Unused = Buffer.capacity() - Buffer.size();
   ReadPending = true;
   Socket.async_read_some(
-      Buffer.prepare(std::min(Room, std::max(Unused, MinReadBytes))),
+      Space,
       [this, Self, Id = CallId](const error_code &Result, std::size_t Size) {
         ReadPending = false;
         if (Id == CallId)
@@ -351,53 +297,33 @@
       });
 }
 
-/// Maps a Beast read error to a fault.
-/// \param ReceivedBytes whether part of the response was received
-static channel_fault faultOf(const error_code &Failure, bool ReceivedBytes) {
-  if (Failure == beast::http::error::header_limit ||
-      Failure == beast::http::error::body_limit)
-    return channel_fault::ExcessBytes;
-  if (Failure == beast::http::error::partial_message)
-    return channel_fault::Truncated;
-  if (Failure.category() ==
-      beast::http::make_error_code(beast::http::error::bad_version).category())
-    return channel_fault::Malformed;
-  return ReceivedBytes ? channel_fault::Truncated
-                       : channel_fault::ClosedBeforeResponse;
-}
-
 void http_channel::impl::onRead(const std::shared_ptr<http_channel> &Self,
                                 const error_code &Failure, std::size_t Size) {
-  Buffer.commit(Size);
+  Response.commit(Size);
   ReceivedBytes += Size;
   if (!Failure)
     return parse(Self);
-  error_code Result = Failure;
   // The kernel reports the loss of a connection once. If a write got the
   // report, a read sees an end as if the peer had closed in order.
-  if (Failure == asio::error::eof && Parser->got_some() && !ConnectionLost)
-    Parser->put_eof(Result);
-  if (Result)
-    return fail(faultOf(Result, Parser->got_some()));
+  if (const auto Fault = Response.parseEnd(Failure, !ConnectionLost))
+    return fail(*Fault);
   onProgress(Self);
 }
 
-/// Parses the bytes read. What is left in the buffer needs more bytes.
+/// Parses the bytes read. What is left of them needs more bytes.
 void http_channel::impl::parse(const std::shared_ptr<http_channel> &Self) {
-  error_code Failure;
-  Buffer.consume(Parser->put(Buffer.data(), Failure));
-  if (Failure && Failure != beast::http::error::need_more)
-    return fail(faultOf(Failure, true));
+  if (const auto Fault = Response.parse())
+    return fail(*Fault);
   onProgress(Self);
 }
 
 void http_channel::impl::onProgress(const std::shared_ptr<http_channel> &Self) {
-  const bool HeadJustRead = !Use && Parser->is_header_done();
+  const bool HeadJustRead = !Use && Response.isHeadDone();
   if (HeadJustRead)
     decideUse();
   if (exceedsLimit())
     return fail(channel_fault::ExcessBytes);
-  if (Parser->is_done())
+  if (Response.isDone())
     return onComplete(Self);
   if (Use == response_use::Stream)
     return deliverPiece(Self, HeadJustRead);
@@ -405,42 +331,40 @@
 }
 
 void http_channel::impl::decideUse() {
-  if (Parser->get().result_int() < 200) {
+  if (Response.head().result_int() < 200) {
     Use = response_use::Skip;
     return;
   }
-  Use = Observer.OnHead(Parser->get().base(), Parser->is_done());
+  Use = Observer.OnHead(Response.head(), Response.isDone());
   UnexpectedBytes = UnexpectedBytes || Use == response_use::Skip;
 }
 
 bool http_channel::impl::exceedsLimit() const {
   if (Use == response_use::Stream)
     return false;
-  const bool MoreExpected = Use && !Parser->is_done();
+  const bool MoreExpected = Use && !Response.isDone();
   return ReceivedBytes > Memory.maxResponseBytes() ||
          (MoreExpected &&
-          Parser->content_length().value_or(0) > Memory.maxResponseBytes());
+          Response.contentLength().value_or(0) > Memory.maxResponseBytes());
 }
 
 /// Reads on after the head or a part of the body.
 void http_channel::impl::readBody(const std::shared_ptr<http_channel> &Self) {
   if (Use == response_use::Skip)
-    Parser->get().body().clear();
+    Response.takeBody();
   if (Use)
-    Buffer.reserve(std::min<std::uint64_t>(
-        Parser->content_length_remaining().value_or(MaxBufferBytes),
-        MaxBufferBytes));
-  Holding->resize(Buffer.capacity() + Parser->get().body().capacity());
+    Response.reserveForBody();
+  Holding->resize(Response.heldBytes());
   readMore(Self);
 }
 
 void http_channel::impl::deliverPiece(const std::shared_ptr<http_channel> &Self,
                                       bool IsFirst) {
-  std::string Piece = std::exchange(Parser->get().body(), {});
+  std::string Piece = Response.takeBody();
   if (Piece.empty() && !IsFirst)
     return readBody(Self);
   // The piece is held until it was passed on.
-  Holding->resize(Buffer.capacity() + Piece.capacity());
+  Holding->resize(Response.heldBytes() + Piece.capacity());
   Paused = true;
   Observer.OnPiece(std::move(Piece));
 }
@@ -462,26 +386,22 @@
 }
 
 void http_channel::impl::onComplete(const std::shared_ptr<http_channel> &Self) {
-  const bool KeepAlive = Parser->keep_alive();
+  const bool KeepAlive = Response.keepsAlive();
   if (Use == response_use::Skip)
     return skipResponse(Self, KeepAlive);
-  auto Message = Parser->release();
-  http_response Response(std::move(Message.base()), std::move(Message.body()));
-  Reusable = KeepAlive && RequestWritten && Buffer.size() == 0;
-  UnexpectedBytes = UnexpectedBytes || Buffer.size() != 0;
+  http_response Message = Response.release();
+  Reusable = KeepAlive && RequestWritten && !Response.hasBytes();
+  UnexpectedBytes = UnexpectedBytes || Response.hasBytes();
   if (Reusable)
     ReusableUntil = base::boot_clock::now() +
                     std::chrono::duration_cast<std::chrono::nanoseconds>(
-                        keepAliveOf(Response) * KeepAliveFraction);
+                        keepAliveOf(Message) * KeepAliveFraction);
   else
     closeSocket();
   // An idle connection keeps no buffer for a large body.
-  if (Buffer.capacity() > FirstReadBytes) {
-    Buffer.clear();
-    Buffer.shrink_to_fit();
-  }
+  Response.shrink();
   Holding.reset();
-  finish(std::move(Response));
+  finish(std::move(Message));
 }
 
 void http_channel::impl::skipResponse(const std::shared_ptr<http_channel> &Self,
@@ -503,9 +423,7 @@
 }
 
 void http_channel::impl::releaseMemory() {
-  Parser.reset();
-  Buffer.clear();
-  Buffer.shrink_to_fit();
+  Response.clear();
   Holding.reset();
 }
 
