Take an answer with a status that is none for no answer

Callers saw: an endpoint in trouble sent an answer whose status was 000 or 600 to 999. With 600 to 999 the caller got it as an answer. Below 100 it was taken for an interim response: what followed on the connection was taken for the answer, or nothing came until the deadline. The same held for 101, which no request asks for.

Cause: the parser accepts any three digits, and all below 200 were skipped.

Evidence: system_serve_odd_answers.AnAnswerWithAnOddStatusReachesNoCaller, 15 numbers in 6 forms each; before this commit the one with a 200 behind a 000 reached the caller as a 200. That a safe request goes to another target held already (ASafeRequestWithAnOddAnswerGoesToAnotherTarget).

Why it works: the head is parsed before any byte of the body, and a status outside of 100 to 599, or 101, is a malformed answer at once: 502, or another target. The client of `run` uses the same check.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,5 +1,7 @@
 #include "skylarkdyke/http/client.hpp"
 
+#include "net/detail/response_status.hpp"
+
 #include <algorithm>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
@@ -250,8 +252,7 @@
     if (!HasHead && Received > MaxAnswerHeaderBytes)
       return finish(exchange_fault::Endless);
     const unsigned Status = Parser->get().result_int();
-    // No request asks for another protocol.
-    if (Status == SwitchingProtocols)
+    if (!net::detail::isResponseStatus(Status))
       return finish(exchange_fault::Malformed);
     if (Status < FirstFinalStatus)
       return readHead();
@@ -272,7 +273,6 @@
     Done = true;
   }
 
-  static constexpr unsigned SwitchingProtocols = 101;
   static constexpr unsigned FirstFinalStatus = 200;
 
   tcp::socket &Socket;
--- a/src/net/detail/response_parser.cpp
+++ b/src/net/detail/response_parser.cpp
@@ -1,5 +1,7 @@
 #include "net/detail/response_parser.hpp"
 
+#include "net/detail/response_status.hpp"
+
 #include <algorithm>
 #include <boost/asio/error.hpp>
 #include <boost/beast/http/error.hpp>
@@ -43,7 +45,6 @@
   Parser->header_limit(MaxHeaderBytes);
   // The caller checks the size, which is not limited for streamed bodies.
   Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-  Parser->eager(true);
   if (HasNoBody)
     Parser->skip(true);
   Buffer.reserve(FirstReadBytes);
@@ -61,8 +62,26 @@
       MaxBufferBytes));
 }
 
+/// Parses the head by itself, before any byte of the body.
+std::optional<channel_fault> response_parser::parseHead() {
+  error_code Failure;
+  Parser->eager(false);
+  Buffer.consume(Parser->put(Buffer.data(), Failure));
+  if (Failure && Failure != beast::http::error::need_more)
+    return faultOf(Failure, true);
+  if (Parser->is_header_done() && !isResponseStatus(head().result_int()))
+    return channel_fault::Malformed;
+  return std::nullopt;
+}
+
 std::optional<channel_fault> response_parser::parse() {
+  if (!Parser->is_header_done())
+    if (const auto Fault = parseHead())
+      return Fault;
+  if (!Parser->is_header_done() || Parser->is_done() || !hasBytes())
+    return std::nullopt;
   error_code Failure;
+  Parser->eager(true);
   Buffer.consume(Parser->put(Buffer.data(), Failure));
   if (Failure && Failure != beast::http::error::need_more)
     return faultOf(Failure, true);
--- a/src/net/detail/response_parser.hpp
+++ b/src/net/detail/response_parser.hpp
@@ -76,6 +76,8 @@
   void clear();
 
 private:
+  std::optional<channel_fault> parseHead();
+
   boost::beast::flat_buffer Buffer;
   std::optional<boost::beast::http::response_parser<growing_body>> Parser;
 };
--- /dev/null
+++ b/tests/system-serve-odd-answers.cpp
@@ -0,0 +1,133 @@
+#include "support/lone_target_fixture.hpp"
+#include "support/raw_client.hpp"
+
+#include <mutex>
+#include <thread>
+#include <vector>
+
+// Last, because it redefines "new".
+#include <CppUTest/TestHarness.h>
+
+using namespace skylarkdyke;
+using namespace std::chrono_literals;
+using test_support::scripted_request;
+using test_support::scripted_target;
+using test_support::statusOf;
+using test_support::waitUntil;
+
+static const std::string Ok = "HTTP/1.1 200 OK\r\n";
+
+/// Lines that sign a response and name its request.
+static std::string ownLines(const scripted_request &Request) {
+  return "Skylarkdyke-Response-Signature: signed\r\n"
+         "Skylarkdyke-Request-Id: " +
+         Request.requestId() + "\r\n";
+}
+
+static std::string withLength(const std::string &Body) {
+  return "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+static std::string success(const scripted_request &Request) {
+  return Ok + ownLines(Request) + withLength("answer to " + Request.path());
+}
+
+namespace {
+
+/// Bytes of a target that are no answer. "{id}" stands for the lines that name
+/// and sign the request.
+struct odd_answer {
+  std::string Name;
+  std::string Bytes;
+  /// Whether the connection ends behind the bytes.
+  bool Closes = true;
+};
+
+} // namespace
+
+/// Part of each odd answer that must not reach a caller.
+static const std::string OddBody = "odd-body";
+
+static std::vector<odd_answer> answersWithOddStatus() {
+  std::vector<odd_answer> Answers;
+  for (const std::string Status :
+       {"000", "001", "020", "099", "101", "600", "700", "999", "2000", "20",
+        "2x0", "-20", "+20", " 200", "0x8"}) {
+    const std::string Start = "HTTP/1.1 " + Status + " Odd\r\n{id}";
+    // What follows bytes that are no answer is none either.
+    for (const std::string &Rest :
+         {withLength(OddBody), "\r\n" + OddBody,
+          withLength("") + Ok + "{id}" + withLength(OddBody)})
+      for (const bool Closes : {true, false})
+        Answers.push_back({Start + Rest, Start + Rest, Closes});
+  }
+  return Answers;
+}
+
+static std::string bytesFor(const odd_answer &Answer,
+                            const scripted_request &Request) {
+  const std::string Lines = ownLines(Request);
+  std::string Bytes = Answer.Bytes;
+  for (std::size_t At = Bytes.find("{id}"); At != std::string::npos;
+       At = Bytes.find("{id}"))
+    Bytes.replace(At, 4, Lines);
+  return Bytes;
+}
+
+/// Checks that a caller gets no part of bytes that are no answer.
+static void checkNoAnswer(const odd_answer &Answer,
+                          const std::string &Response) {
+  const std::string Text = Answer.Name + ":\n" + Response;
+  STRCMP_EQUAL_TEXT("502", statusOf(Response).c_str(), Text.c_str());
+  for (const std::string &Part :
+       {OddBody, std::string("X-Odd"), std::string("signed")})
+    CHECK_TEXT(Response.find(Part) == std::string::npos, Text.c_str());
+}
+
+TEST_GROUP_BASE(system_serve_odd_answers, test_support::lone_target_fixture){
+    /// Lets targets send what is no answer, and checks what callers get.
+    void checkOddAnswers(const std::vector<odd_answer> &Answers){int Count = 0;
+for (const odd_answer &Answer : Answers) {
+  const std::string Path = "/once/odd" + std::to_string(++Count);
+  const scripted_target Target([&](const scripted_request &Request) {
+    if (Request.path() != Path)
+      return Request.send(success(Request));
+    Request.send(bytesFor(Answer, Request));
+    Request.close();
+  });
+  useOnly(Target);
+  const std::string Response = ask("POST", Path, "odd");
+  LONGS_EQUAL_TEXT(1, Target.received(Path), Answer.Name.c_str());
+  checkNoAnswer(Answer, Response);
+}
+}
+}
+;
+
+// Guards against a status that is no number of HTTP, and against a response that
+// is accepted behind such a one.
+TEST(system_serve_odd_answers, AnAnswerWithAnOddStatusReachesNoCaller) {
+  start();
+  checkOddAnswers(answersWithOddStatus());
+}
+
+// Guards against a safe request that fails although another target answers it.
+TEST(system_serve_odd_answers, ASafeRequestWithAnOddAnswerGoesToAnotherTarget) {
+  start();
+  const odd_answer Odd{"000", "HTTP/1.1 000 Odd\r\n{id}" + withLength(OddBody)};
+  const scripted_target Broken([&](const scripted_request &Request) {
+    Request.send(bytesFor(Odd, Request));
+  });
+  const scripted_target Sound(
+      [](const scripted_request &Request) { Request.send(success(Request)); });
+  useOnly(Sound);
+  Platform.put("servers/broken", test_support::servedTarget(Broken.address()));
+  // The part of the retry slack that an entry uses begins a while after its
+  // start.
+  std::this_thread::sleep_for(8s);
+  for (int I = 0; Broken.connections() == 0 && I < 100; ++I) {
+    const std::string Id = "safe" + std::to_string(I);
+    STRCMP_EQUAL("200", statusOf(ask("GET", "/safe/" + Id, Id)).c_str());
+  }
+  CHECK(Broken.connections() > 0);
+}
