Take an answer whose head holds a folded line for no answer

Callers saw: an endpoint in trouble sent an answer in whose head the name of a field held a blank or a control byte. If the blank came first in the line, the caller got it as an answer, with the line as a part of the value before it, and " Content-Length: 3" did not end the body.

Cause: the parser joins a line that begins with a blank or a tab with the line before (obsolete line folding). It holds already for all other places of a blank, and for control bytes: those are malformed.

Evidence: system_serve_odd_answers.AnAnswerWithAnOddFieldNameReachesNoCaller, 9 bytes at 3 places of a line at 2 places of the head, 6 lines that end a body elsewhere, one trailer; before this commit " X-Odd: v" reached the caller in "X-Server: a X-Odd: v" with 200.

Why it works: the head is scanned as its bytes arrive, before the parser sees them; a folded line makes it malformed, in both clients, as RFC 9112 allows. http_cut_responses.AnOddHeadIsAFault checks the two with the same bytes.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,5 +1,6 @@
 #include "skylarkdyke/http/client.hpp"
 
+#include "net/detail/head_scanner.hpp"
 #include "net/detail/response_status.hpp"
 
 #include <algorithm>
@@ -7,6 +8,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/beast/core/buffers_prefix.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <mutex>
@@ -195,12 +198,55 @@
 
 namespace {
 
+/// Reads from a socket, and fails once a line of the head that is being read
+/// begins with a blank.
+class scanning_stream {
+public:
+  using executor_type = tcp::socket::executor_type;
+
+  explicit scanning_stream(tcp::socket &Socket) : Socket(Socket) {}
+  // Beast requires the names of these functions.
+  // NOLINTBEGIN
+  executor_type get_executor() { return Socket.get_executor(); }
+  template <class Buffers, class Handler>
+  void async_read_some(const Buffers &Space, Handler &&OnRead) {
+    Socket.async_read_some(
+        Space, [this, Space, OnRead = std::forward<Handler>(OnRead)](
+                   error_code Failure, std::size_t Size) mutable {
+          if (!Failure && !scan(Space, Size))
+            Failure = beast::http::error::bad_field;
+          OnRead(Failure, Size);
+        });
+  }
+  // NOLINTEND
+
+  /// Starts with the next head, of which bytes may have been read already.
+  bool startHead(const beast::flat_buffer &Read) {
+    Scanner = {};
+    return scan(Read.cdata(), Read.size());
+  }
+
+private:
+  template <class Buffers> bool scan(const Buffers &Read, std::size_t Size) {
+    bool IsProper = true;
+    for (const asio::const_buffer Part :
+         beast::buffers_range(beast::buffers_prefix(Size, Read)))
+      IsProper =
+          IsProper &&
+          Scanner.scan({static_cast<const char *>(Part.data()), Part.size()});
+    return IsProper;
+  }
+
+  tcp::socket &Socket;
+  net::detail::head_scanner Scanner;
+};
+
 /// Reads one answer, within its limits, behind interim answers.
 class answer_reader {
 public:
   answer_reader(tcp::socket &Socket, beast::flat_buffer &Buffer,
                 std::size_t MaxAnswerBytes, bool HasNoBody)
-      : Socket(Socket), Buffer(Buffer), MaxAnswerBytes(MaxAnswerBytes),
+      : Stream(Socket), Buffer(Buffer), MaxAnswerBytes(MaxAnswerBytes),
         HasNoBody(HasNoBody) {}
 
   /// Reads until Done; then Fault tells whether the answer is whole.
@@ -222,6 +268,8 @@
     Parser.emplace();
     Parser->body_limit(MaxAnswerBytes);
     Parser->skip(HasNoBody);
+    if (!Stream.startHead(Buffer))
+      return finish(exchange_fault::Malformed);
     readSome();
   }
 
@@ -229,7 +277,7 @@
     // The head is read by itself (eager is not set yet): otherwise Boost.Beast
     // would allocate an announced body before it reports that it is too large.
     beast::http::async_read_some(
-        Socket, Buffer, *Parser,
+        Stream, Buffer, *Parser,
         [this](const error_code &Failure, std::size_t Bytes) {
           Received += Bytes;
           if (Failure)
@@ -275,7 +323,7 @@
 
   static constexpr unsigned FirstFinalStatus = 200;
 
-  tcp::socket &Socket;
+  scanning_stream Stream;
   beast::flat_buffer &Buffer;
   std::size_t MaxAnswerBytes;
   bool HasNoBody;
--- a/src/net/detail/response_parser.cpp
+++ b/src/net/detail/response_parser.cpp
@@ -48,6 +48,8 @@
   if (HasNoBody)
     Parser->skip(true);
   Buffer.reserve(FirstReadBytes);
+  Scanner = {};
+  ScannedBytes = 0;
 }
 
 boost::asio::mutable_buffer response_parser::prepare() {
@@ -64,9 +66,13 @@
 
 /// Parses the head by itself, before any byte of the body.
 std::optional<channel_fault> response_parser::parseHead() {
+  const boost::asio::const_buffer Bytes = Buffer.cdata() + ScannedBytes;
+  if (!Scanner.scan({static_cast<const char *>(Bytes.data()), Bytes.size()}))
+    return channel_fault::Malformed;
   error_code Failure;
   Parser->eager(false);
   Buffer.consume(Parser->put(Buffer.data(), Failure));
+  ScannedBytes = Buffer.size();
   if (Failure && Failure != beast::http::error::need_more)
     return faultOf(Failure, true);
   if (Parser->is_header_done() && !isResponseStatus(head().result_int()))
--- a/src/net/detail/response_parser.hpp
+++ b/src/net/detail/response_parser.hpp
@@ -2,6 +2,7 @@
 #define SKYLARKDYKE_NET_DETAIL_RESPONSE_PARSER_HPP
 
 #include "net/detail/growing_body.hpp"
+#include "net/detail/head_scanner.hpp"
 #include "skylarkdyke/net/http_channel.hpp"
 
 #include <boost/asio/buffer.hpp>
@@ -79,6 +80,9 @@
   std::optional<channel_fault> parseHead();
 
   boost::beast::flat_buffer Buffer;
+  head_scanner Scanner;
+  /// Number of bytes at the start of Buffer that were scanned.
+  std::size_t ScannedBytes = 0;
   std::optional<boost::beast::http::response_parser<growing_body>> Parser;
 };
 
--- a/tests/system-serve-odd-answers.cpp
+++ b/tests/system-serve-odd-answers.cpp
@@ -64,6 +64,32 @@
   return Answers;
 }
 
+static std::vector<odd_answer> answersWithOddFields() {
+  const std::string Before = "X-Server: a\r\n";
+  std::vector<odd_answer> Answers;
+  for (const char Odd :
+       {' ', '\t', '\0', '\x01', '\x1b', '\x1f', '\x7f', '\r', '\n'}) {
+    const std::string Byte = "byte " + std::to_string(Odd);
+    for (const std::string &Line : {std::string(1, Odd) + "X-Odd: v\r\n",
+                                    "X-" + std::string(1, Odd) + "Odd: v\r\n",
+                                    "X-Odd" + std::string(1, Odd) + ": v\r\n"})
+      for (const bool IsFirst : {true, false})
+        Answers.push_back(
+            {Byte + " in " + Line,
+             Ok + (IsFirst ? Line + "{id}" : "{id}" + Before + Line) +
+                 withLength(OddBody)});
+  }
+  for (const std::string Line :
+       {"Content Length: 3\r\n", "Content-Length : 3\r\n",
+        " Content-Length: 3\r\n", "\tContent-Length: 3\r\n",
+        "Transfer Encoding: chunked\r\n", " Transfer-Encoding: chunked\r\n"})
+    Answers.push_back({Line, Ok + "{id}" + Before + Line + "\r\n" + OddBody});
+  Answers.push_back(
+      {"trailer", Ok + "{id}Transfer-Encoding: chunked\r\n\r\n8\r\n" + OddBody +
+                      "\r\n0\r\nX Odd: v\r\n\r\n"});
+  return Answers;
+}
+
 static std::string bytesFor(const odd_answer &Answer,
                             const scripted_request &Request) {
   const std::string Lines = ownLines(Request);
@@ -104,13 +130,19 @@
 }
 ;
 
-// Guards against a status that is no number of HTTP, and against a response that
-// is accepted behind such a one.
+// Guards against a status that is no number of HTTP, and against fields whose
+// names hold a blank or a control byte: the line would be passed on, or the end
+// of the body would be another one than that of the target.
 TEST(system_serve_odd_answers, AnAnswerWithAnOddStatusReachesNoCaller) {
   start();
   checkOddAnswers(answersWithOddStatus());
 }
 
+TEST(system_serve_odd_answers, AnAnswerWithAnOddFieldNameReachesNoCaller) {
+  start();
+  checkOddAnswers(answersWithOddFields());
+}
+
 // Guards against a safe request that fails although another target answers it.
 TEST(system_serve_odd_answers, ASafeRequestWithAnOddAnswerGoesToAnotherTarget) {
   start();
--- a/tests/unit-http-cut-responses.cpp
+++ b/tests/unit-http-cut-responses.cpp
@@ -167,3 +167,26 @@
                      Text.c_str());
   }
 }
+
+// Guards against bytes that are no response and are taken for one: a status
+// that is no number of HTTP, and a line in the head that names no field.
+TEST(http_cut_responses, AnOddHeadIsAFault) {
+  const std::string Rest = "Content-Length: 2\r\n\r\nok";
+  const std::string Ok = "HTTP/1.1 200 OK\r\nX-Server: a\r\n";
+  const std::string Interim = "HTTP/1.1 103 Hints\r\nLink: a\r\n\r\n";
+  for (const std::string &Bytes :
+       {"HTTP/1.1 000 Odd\r\n" + Rest, "HTTP/1.1 099 Odd\r\n" + Rest,
+        "HTTP/1.1 101 Odd\r\n" + Rest, "HTTP/1.1 600 Odd\r\n" + Rest,
+        "HTTP/1.1 999 Odd\r\n" + Rest, Ok + " X-Odd: v\r\n" + Rest,
+        Ok + "\tX-Odd: v\r\n" + Rest, Ok + "X Odd: v\r\n" + Rest,
+        Ok + "X-Odd : v\r\n" + Rest, Interim + Ok + " X-Odd: v\r\n" + Rest,
+        "HTTP/1.1 103 Hints\r\nLink: a\r\n b\r\n\r\n" + Ok + Rest})
+    check({Bytes.c_str(), "GET", Bytes, Bytes.size()}, Bytes.size(), false,
+          false);
+  // Blanks elsewhere are part of a proper response.
+  for (const std::string &Bytes :
+       {Ok + "X-Value: \t a b\t\r\n" + Rest, Interim + Ok + Rest,
+        "HTTP/1.1 599 \r\n" + Rest, Ok + "Content-Length: 4\r\n\r\n\r\n a"})
+    check({Bytes.c_str(), "GET", Bytes, Bytes.size()}, Bytes.size(), false,
+          true);
+}
