Keep the trailers of an answer out of its head

Callers saw: an answer without a signature whose trailers held one was taken for the endpoint's, and trailers were passed on as fields of the head.

Cause: the parser adds trailers to the head. With a body that arrived together with its head, all decisions on the head saw them.

Evidence: system_serve_odd_answers.TrailersAreNoFieldsOfTheHead; before this commit the unsigned answer reached the caller as a 200 with "X-Odd: v".

Why it works: the head of a chunked answer is copied when it is done, before any byte of the body is parsed, and only the copy is used. The client of `run` does the same (http_client.AnAnswerWithinTheLimitsIsRead checks it in addition).

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -259,6 +259,14 @@
     readHead();
   }
 
+  /// Returns the answer once it is whole, without trailers.
+  beast::http::response<beast::http::string_body> release() {
+    auto Message = Parser->release();
+    if (ChunkedHead)
+      Message.base() = std::move(*ChunkedHead);
+    return Message;
+  }
+
   bool Done = false;
   std::optional<exchange_fault> Fault;
   std::optional<beast::http::response_parser<beast::http::string_body>> Parser;
@@ -304,6 +312,8 @@
       return finish(exchange_fault::Malformed);
     if (Status < FirstFinalStatus)
       return readHead();
+    if (!HasHead && Parser->chunked())
+      ChunkedHead = Parser->get().base();
     HasHead = true;
     if (Parser->is_done() && Parser->need_eof() && ConnectionLost)
       return finish(exchange_fault::Truncated);
@@ -328,6 +338,9 @@
   std::size_t MaxAnswerBytes;
   bool HasNoBody;
   bool HasHead = false;
+  /// Head of an answer with a chunked body: the parser adds the trailers to its
+  /// own one.
+  std::optional<beast::http::response_header<>> ChunkedHead;
   /// A write found that the connection had ended, but not in order.
   bool ConnectionLost = false;
   /// Bytes of the answer and of the interim answers so far.
@@ -382,7 +395,7 @@
   Conn.Reusable = Reader.Parser->keep_alive() && Conn.Buffer.size() == 0;
   if (!Conn.Reusable)
     Conn.Socket.close(Ignored);
-  return fromBeast(Reader.Parser->release());
+  return fromBeast(Reader.release());
 }
 
 base::result<response, exchange_error> fetch(const base::endpoint &Peer,
--- a/src/net/detail/response_parser.cpp
+++ b/src/net/detail/response_parser.cpp
@@ -41,6 +41,7 @@
 response_parser::response_parser() : Buffer(MaxBufferBytes) {}
 
 void response_parser::start(bool HasNoBody) {
+  ChunkedHead.reset();
   Parser.emplace();
   Parser->header_limit(MaxHeaderBytes);
   // The caller checks the size, which is not limited for streamed bodies.
@@ -75,8 +76,12 @@
   ScannedBytes = Buffer.size();
   if (Failure && Failure != beast::http::error::need_more)
     return faultOf(Failure, true);
-  if (Parser->is_header_done() && !isResponseStatus(head().result_int()))
+  if (!Parser->is_header_done())
+    return std::nullopt;
+  if (!isResponseStatus(head().result_int()))
     return channel_fault::Malformed;
+  if (Parser->chunked())
+    ChunkedHead = head();
   return std::nullopt;
 }
 
@@ -119,7 +124,8 @@
 
 http_response response_parser::release() {
   auto Message = Parser->release();
-  return http_response(std::move(Message.base()), std::move(Message.body()));
+  http_response_head &Head = ChunkedHead ? *ChunkedHead : Message.base();
+  return http_response(std::move(Head), std::move(Message.body()));
 }
 
 void response_parser::shrink() {
@@ -131,6 +137,7 @@
 
 void response_parser::clear() {
   Parser.reset();
+  ChunkedHead.reset();
   Buffer.clear();
   Buffer.shrink_to_fit();
 }
--- a/src/net/detail/response_parser.hpp
+++ b/src/net/detail/response_parser.hpp
@@ -55,8 +55,10 @@
   bool isDone() const { return Parser->is_done(); }
   bool keepsAlive() const { return Parser->keep_alive(); }
 
-  /// \brief Returns the head; only once it is done.
-  const http_response_head &head() const { return Parser->get().base(); }
+  /// \brief Returns the head, without trailers; only once it is done.
+  const http_response_head &head() const {
+    return ChunkedHead ? *ChunkedHead : Parser->get().base();
+  }
 
   /// \brief Returns the length that the head states, if it states one.
   std::optional<std::uint64_t> contentLength() const;
@@ -84,6 +86,9 @@
   /// Number of bytes at the start of Buffer that were scanned.
   std::size_t ScannedBytes = 0;
   std::optional<boost::beast::http::response_parser<growing_body>> Parser;
+  /// Head of a response with a chunked body: the parser adds the trailers to
+  /// its own one.
+  std::optional<http_response_head> ChunkedHead;
 };
 
 } // namespace skylarkdyke::net::detail
--- a/tests/system-serve-odd-answers.cpp
+++ b/tests/system-serve-odd-answers.cpp
@@ -163,3 +163,28 @@
   }
   CHECK(Broken.connections() > 0);
 }
+
+// Guards against trailers that are taken for fields of the head: they could
+// sign an answer that is not signed, or be passed on.
+TEST(system_serve_odd_answers, TrailersAreNoFieldsOfTheHead) {
+  start();
+  for (const std::string Id : {"unsigned", "signed"}) {
+    const std::string Path = "/once/" + Id;
+    const scripted_target Target([&](const scripted_request &Request) {
+      if (Request.path() != Path)
+        return Request.send(success(Request));
+      const std::string Signature =
+          "Skylarkdyke-Response-Signature: " + Id + "\r\n";
+      Request.send(Ok + (Id == "signed" ? Signature : "") +
+                   "Skylarkdyke-Request-Id: " + Request.requestId() +
+                   "\r\nTransfer-Encoding: chunked\r\n\r\n8\r\n" + OddBody +
+                   "\r\n0\r\nX-Odd: v\r\n" + (Id == "signed" ? "" : Signature) +
+                   "\r\n");
+    });
+    useOnly(Target);
+    const std::string Response = ask("POST", Path, Id);
+    STRCMP_EQUAL_TEXT(Id == "signed" ? "200" : "502",
+                      statusOf(Response).c_str(), Response.c_str());
+    CHECK_TEXT(Response.find("X-Odd") == std::string::npos, Response.c_str());
+  }
+}
--- a/tests/unit-http-client.cpp
+++ b/tests/unit-http-client.cpp
@@ -174,5 +174,6 @@
         Address, {}, {base::boot_clock::now() + 2s, MaxAnswerBytes, -1});
     CHECK_TRUE(Answer.has_value());
     CHECK_EQUAL(MaxAnswerBytes, Answer.value().Body.size());
+    CHECK(Answer.value().Headers.count("X-Trailer") == 0);
   }
 }
