End no call twice when its memory is reclaimed after its end

Callers saw: half of the endpoints sent bodies without end, the process ended itself with std::bad_function_call, and the requests of all other callers on that machine ended with it (LOST).

Cause: a call that ends while a read is pending keeps its memory registered until the read has been aborted. If the response memory was full meanwhile, it could pick that call: the handler then took the number of the next call, and called the observer of the one that had ended, which is empty.

Evidence: net_channel.MemoryThatIsReclaimedAfterACallEndsNothing fails each time before this commit ("terminate called after throwing an instance of 'std::bad_function_call'").

Why it works: the memory knows the number of its own call, which is no longer the current one once the call has ended.

--- a/src/net/http_channel.cpp
+++ b/src/net/http_channel.cpp
@@ -109,7 +109,7 @@
   void skipResponse(const std::shared_ptr<http_channel> &Self, bool KeepAlive);
   void setTimer(const std::shared_ptr<http_channel> &Self,
                 base::boot_time Until, channel_fault Fault);
-  void reclaim(const std::shared_ptr<http_channel> &Self);
+  void reclaim(const std::shared_ptr<http_channel> &Self, unsigned Id);
   void releaseMemory();
   void fail(channel_fault Fault);
   void finish(call_result Result);
@@ -197,10 +197,11 @@
   State.ReceivedBytes = 0;
   State.SkippedResponses = 0;
   const auto Self = shared_from_this();
-  State.Holding.emplace(State.Memory, State.Peer, [Weak = weak_from_this()] {
-    if (const auto Channel = Weak.lock())
-      Channel->Impl->reclaim(Channel);
-  });
+  State.Holding.emplace(
+      State.Memory, State.Peer, [Weak = weak_from_this(), Id = State.CallId] {
+        if (const auto Channel = Weak.lock())
+          Channel->Impl->reclaim(Channel, Id);
+      });
   if (State.Open)
     State.startExchange(Self);
   else
@@ -413,10 +414,12 @@
   readResponse(Self);
 }
 
-/// Ends the call from a handler of its own, because the memory is reclaimed
-/// while another channel handles its bytes.
-void http_channel::impl::reclaim(const std::shared_ptr<http_channel> &Self) {
-  asio::post(Loop, [this, Self, Id = CallId] {
+/// Ends a call from a handler of its own, because the memory is reclaimed while
+/// another channel handles its bytes. The call may have ended before: its memory
+/// is then released once the pending read has been aborted.
+void http_channel::impl::reclaim(const std::shared_ptr<http_channel> &Self,
+                                 unsigned Id) {
+  asio::post(Loop, [this, Self, Id] {
     if (Id == CallId)
       fail(channel_fault::MemoryLimit);
   });
--- a/tests/support/scripted_target.cpp
+++ b/tests/support/scripted_target.cpp
@@ -51,6 +51,11 @@
       ::send(Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
 }
 
+void scripted_request::sendWithoutEnd(const std::string &Bytes) const {
+  while (::send(Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL) > 0)
+    continue;
+}
+
 void scripted_request::endSending() const { shutdown(Socket, SHUT_WR); }
 
 void scripted_request::close() const { shutdown(Socket, SHUT_RDWR); }
--- a/tests/support/scripted_target.hpp
+++ b/tests/support/scripted_target.hpp
@@ -34,6 +34,10 @@
   /// \brief Sends exactly these bytes.
   void send(const std::string &Bytes) const;
 
+  /// \brief Sends these bytes again and again until the peer closes the
+  /// connection.
+  void sendWithoutEnd(const std::string &Bytes) const;
+
   /// \brief Ends the sending side of the connection, in order.
   void endSending() const;
 
--- a/tests/unit-net-channel.cpp
+++ b/tests/unit-net-channel.cpp
@@ -373,6 +373,24 @@
   CHECK(std::count(Ended.begin(), Ended.end(), "small") == 0);
 }
 
+// Guards against a call that ends twice: its memory is reclaimed after its end,
+// while the read that was pending then is still being aborted.
+TEST(net_channel, MemoryThatIsReclaimedAfterACallEndsNothing) {
+  call(response("Content-Length: 900000\r\n", std::string(800000, 'x')),
+       connection_end::Keep);
+  checkFault(channel_fault::DeadlinePassed);
+  Result.reset();
+  std::vector<std::unique_ptr<net::response_memory::holding>> Others;
+  for (std::uint16_t Port = 1; Port <= 8; ++Port) {
+    Others.push_back(std::make_unique<net::response_memory::holding>(
+        Memory, base::endpoint{"10.0.0.1", Port}, [] { FAIL("reclaimed"); }));
+    Others.back()->resize(500000);
+  }
+  Loop.restart();
+  Loop.poll();
+  CHECK(!Result);
+}
+
 // Guards against a request that is sent to a target which has left while the
 // connection to it was opened.
 TEST(net_channel, AsksBeforeItSendsOnANewConnection) {
