Count the errors of targets that wait for another attempt

Callers would see: a process that ends because it holds more than its memory. An endpoint's error of up to a sixteenth of the memory was kept, uncounted, while another endpoint was tried, as often as there were such requests.

Cause: a complete response left the memory for responses at once, and entered that for callers only when it was given to one.

Why it works: the kept error has a share of the response memory of its own. If that is full and this target holds most of it, the error is dropped, and its caller gets 502 unless another target answers.

--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -284,6 +284,7 @@
   if (Complete || Done ||
       !mayBeStreamed(Head, Context.Headers, Caller->request().version()))
     return net::response_use::Collect;
+  dropErrorResponse();
   RelayedAttempt = Index;
   Relay.emplace(Caller, Attempts[Index].Channel, Head);
   cancelRunningAttempts();
@@ -436,6 +437,7 @@
   // request was executed.
   const bool Started = Relay.has_value();
   Relay.reset();
+  dropErrorResponse();
   if (Started ||
       Query.Route->Repeatability == routing::repeatability::Idempotent)
     cancelRunningAttempts();
@@ -466,6 +468,7 @@
   NextAttemptTimer.cancel();
   removeHopByHopHeaders(Response);
   logRequest(Response.result_int(), Outcome);
+  dropErrorResponse();
   Caller->answer(std::move(Response));
 }
 
--- a/src/gateway/detail/exchange.hpp
+++ b/src/gateway/detail/exchange.hpp
@@ -34,6 +34,7 @@
 /// \brief State that all exchanges of an entry share.
 struct steering_context {
   boost::asio::io_context &Loop;
+  net::response_memory &Memory;
   const header_names &Headers;
   steering_state &State;
   placement::target_registry &TargetRegistry;
@@ -116,6 +117,9 @@
   void recordResponse(const attempt &Attempt,
                       const net::http_response &Response);
   void onResponse(std::size_t Index, response_received Outcome);
+  void keepErrorResponse(net::http_response Response,
+                         const base::endpoint &Target);
+  void dropErrorResponse();
   bool isRelayed(std::size_t Index) const;
   void finishRelay(net::http_response Response);
   void breakRelay(const std::string &Reason);
@@ -159,7 +163,10 @@
   /// an attempt runs, triggers the hedged attempt.
   net::one_shot_timer NextAttemptTimer;
   std::vector<attempt> Attempts;
+  /// Error response of a target that the caller gets if no other target answers.
   std::optional<net::http_response> TargetErrorResponse;
+  /// Memory of that response. If it is reclaimed, the caller gets 502.
+  std::optional<net::response_memory::holding> TargetErrorMemory;
   /// Set while a response is sent on to the caller in pieces.
   std::optional<response_relay> Relay;
   /// Index of the attempt that Relay belongs to.
--- a/src/gateway/detail/exchange_response.cpp
+++ b/src/gateway/detail/exchange_response.cpp
@@ -52,13 +52,27 @@
   if (Done)
     return;
   if (isTargetError(Outcome.Response)) {
-    TargetErrorResponse = std::move(Outcome.Response);
+    keepErrorResponse(std::move(Outcome.Response), Attempt.Chosen.Address);
     return onAttemptFailed("target_failure", true);
   }
   cancelRunningAttempts();
   respond(std::move(Outcome.Response), "answered");
 }
 
+void exchange::keepErrorResponse(net::http_response Response,
+                                 const base::endpoint &Target) {
+  dropErrorResponse();
+  TargetErrorResponse = std::move(Response);
+  TargetErrorMemory.emplace(Context.Memory, Target,
+                            [this] { TargetErrorResponse.reset(); });
+  TargetErrorMemory->resize(TargetErrorResponse->body().capacity());
+}
+
+void exchange::dropErrorResponse() {
+  TargetErrorResponse.reset();
+  TargetErrorMemory.reset();
+}
+
 bool exchange::isRelayed(std::size_t Index) const {
   return Relay && Index == RelayedAttempt;
 }
--- a/tests/system-serve-floods.cpp
+++ b/tests/system-serve-floods.cpp
@@ -199,3 +199,25 @@
     std::this_thread::sleep_for(Silence);
   });
 }
+
+// Guards against large complete responses that are kept, beyond any bound,
+// while another target is tried. They come one after the other, so that they
+// never make up much of the incomplete ones.
+TEST(system_serve_floods, LargeErrorsWhileAnotherTargetIsTried) {
+  constexpr std::size_t Length = 3900000;
+  constexpr int ErrorsInTurn = 30;
+  const auto Start = std::chrono::steady_clock::now() + UntilRetries;
+  std::atomic<int> ErrorCount{0};
+  useRoutes(4s, 40);
+  PlayTime = UntilRetries + 6s;
+  Work = 200ms;
+  check([&](const scripted_request &Request) {
+    if (std::chrono::steady_clock::now() < Start)
+      return serve(Request);
+    Work = 2s;
+    std::this_thread::sleep_for(40ms * (++ErrorCount % ErrorsInTurn));
+    Request.send(ServerError + ownLines(Request) +
+                 "Content-Length: " + std::to_string(Length) + "\r\n\r\n" +
+                 std::string(Length, 'b'));
+  });
+}
