--- a/tests/system-serve-floods.cpp
+++ b/tests/system-serve-floods.cpp
@@ -221,3 +221,24 @@
                  std::string(Length, 'b'));
   });
 }
+
+// Guards against a document of the store that needs much more memory than its
+// text: numbers, or members of objects, without end.
+TEST(system_serve_floods, DocumentsOfManyValues) {
+  constexpr std::size_t Count = 1900000;
+  std::string Document = "{\"items\":[0";
+  for (std::size_t I = 1; I < Count; ++I)
+    Document += ",0";
+  Document += "],\"has_more\":false,\"as_of\":9}";
+  const scripted_target Store([&](const scripted_request &Request) {
+    Request.send("HTTP/1.1 200 OK\r\nContent-Length: " +
+                 std::to_string(Document.size()) + "\r\n\r\n" + Document);
+  });
+  Entry.emplace(Store.address(), 4s, std::nullopt,
+                test_support::served_limits{MemoryMb, 1000});
+  CHECK_FALSE(Entry->start());
+  CHECK_FALSE(Entry->program().waitFor(0ms).has_value());
+  const std::size_t Bytes = peakMemoryBytes();
+  CHECK_TRUE_TEXT(Bytes > 0 && Bytes <= MemoryMb * 1000000UL,
+                  ("held " + std::to_string(Bytes)).c_str());
+}
--- a/tests/unit-platform-odd-items.cpp
+++ b/tests/unit-platform-odd-items.cpp
@@ -1,4 +1,5 @@
 #include "gateway/detail/state_codec.hpp"
+#include "platform/json_fields.hpp"
 #include "platform/wire.hpp"
 #include "skylarkdyke/membership/messages.hpp"
 #include "support/odd_values.hpp"
@@ -66,6 +67,24 @@
   CHECK(!membership::decodeMessage(nestedCborArrays(60'000)));
 }
 
+// Guards against a document whose values need many times the memory of its
+// text, and against a limit that a configuration of the greatest size meets.
+TEST(platform_odd_items, DocumentsOfTooManyValuesAreRefused) {
+  const auto Zeros = [](std::size_t Count) {
+    std::string Text = "[0";
+    for (std::size_t I = 1; I < Count; ++I)
+      Text += ",0";
+    return Text + "]";
+  };
+  constexpr std::size_t ValueBytes = 1048576;
+  const std::string Largest = Zeros((ValueBytes - 1) / 2);
+  CHECK(Largest.size() + 2 > ValueBytes);
+  CHECK(platform::parseDocument(Largest).is_array());
+  CHECK(platform::parseDocument(Zeros(600'000)).is_discarded());
+  CHECK(platform::parseDocument(R"({"a":")" + std::string(600'000, ',') + "\"}")
+            .is_object());
+}
+
 // Guards against numbers that are cut to their low bits, and against records
 // that name no target but are used as one.
 TEST(platform_odd_items, RecordsWithValuesOutOfRangeNameNoTarget) {
