Read the rest of a page beside a name that is no text

Callers would see: no entry becomes ready while a record stands in the store whose key is no UTF-8, or half of a surrogate pair.

Cause: the parser refuses a document with such bytes or escapes as a whole, so that one key made its page unreadable for good.

Why it works: a response that cannot be parsed is parsed once more with U+FFFD for what is no text. Its own key would be another one in a request, so that the next page begins behind the last key that is text. Not covered: a page that holds nothing but such names is asked for again, with pauses, unless the store sorts U+FFFD behind them.

--- a/tests/support/platform_stand_in.cpp
+++ b/tests/support/platform_stand_in.cpp
@@ -95,6 +95,7 @@
   void handleStore(const pending &Request);
   void list(const pending &Request, const std::string &Target);
   void watch(const pending &Request, const std::string &Target);
+  void answerJson(const pending &Request, const json &Answer) const;
   bool answerEvents(const pending &Request, std::uint64_t After);
   void write(const pending &Request);
   int put(const std::string &Key, const std::string &Value, bool Deleted);
@@ -120,6 +121,8 @@
   std::size_t PageSize = std::numeric_limits<std::size_t>::max();
   store_fault Fault = store_fault::None;
   store_calls Calls;
+  std::string ReplacedText;
+  std::string ReplacedBy;
   std::map<std::string, std::unique_ptr<stand_in_target>> Targets;
   std::map<std::string, int> Runs;
   std::thread Thread;
@@ -168,6 +171,16 @@
   Request->answer(net::makeResponse(404));
 }
 
+void platform_stand_in::impl::answerJson(const pending &Request,
+                                         const json &Answer) const {
+  std::string Text = Answer.dump();
+  for (std::size_t At = Text.find(ReplacedText);
+       !ReplacedText.empty() && At != std::string::npos;
+       At = Text.find(ReplacedText, At + ReplacedBy.size()))
+    Text.replace(At, ReplacedText.size(), ReplacedBy);
+  Request->answer(net::makeResponse(200, Text));
+}
+
 void platform_stand_in::impl::list(const pending &Request,
                                    const std::string &Target) {
   ++Calls.Lists;
@@ -187,9 +200,8 @@
     Found.erase(Found.size() - 1);
   if (HasMore && Fault == store_fault::HidesKeys)
     Found.back()["key"] = 7;
-  Request->answer(net::makeResponse(
-      200, json{{"items", Found}, {"has_more", HasMore}, {"as_of", Revision}}
-               .dump()));
+  answerJson(Request,
+             {{"items", Found}, {"has_more", HasMore}, {"as_of", Revision}});
 }
 
 bool platform_stand_in::impl::answerEvents(const pending &Request,
@@ -207,8 +219,7 @@
   }
   if (Events.empty())
     return false;
-  Request->answer(net::makeResponse(
-      200, json{{"events", Events}, {"as_of", Revision}}.dump()));
+  answerJson(Request, {{"events", Events}, {"as_of", Revision}});
   return true;
 }
 
@@ -379,6 +390,15 @@
   Impl->onLoop([&] { return Impl->Fault = Fault; });
 }
 
+void platform_stand_in::replaceInAnswers(const std::string &Text,
+                                         const std::string &Bytes) {
+  Impl->onLoop([&] {
+    Impl->ReplacedText = Text;
+    Impl->ReplacedBy = Bytes;
+    return 0;
+  });
+}
+
 store_calls platform_stand_in::calls() const {
   return Impl->onLoop([this] { return Impl->Calls; });
 }
--- a/tests/support/platform_stand_in.hpp
+++ b/tests/support/platform_stand_in.hpp
@@ -50,6 +50,9 @@
   void setFault(store_fault Fault);
   store_calls calls() const;
 
+  /// \brief Replaces a text in all listings and events that the store sends.
+  void replaceInAnswers(const std::string &Text, const std::string &Bytes);
+
   /// \brief From now on the store answers 503 to everybody.
   void turnAllAway();
 
--- a/tests/system-serve-keys.cpp
+++ b/tests/system-serve-keys.cpp
@@ -150,6 +150,28 @@
     checkStart(Odd);
 }
 
+// Guards against a whole page that is lost because a name on it is no text:
+// bytes that are no UTF-8, as they are or escaped as half of a surrogate pair.
+TEST(system_serve_keys, StartsBesideNamesThatAreNoText) {
+  // Sorts behind all ASCII, as the bytes do that are sent in its place.
+  const std::string Odd = "\xef\xbf\xbe";
+  // The second page ends with such names.
+  Platform.setPageSize(4);
+  for (const char *Prefix : {"servers/", "entries/", "blocked/"})
+    for (const char *Number : {"0", "1", "2"})
+      Platform.put(Prefix + ("a" + Odd) + Number, Unreadable);
+  for (const char *Bytes : {"\xff", "\\udcff", "\\ud83d", "\xe2\x82"}) {
+    for (const std::string &Target : Targets)
+      Platform.addTarget(Target, "orders", "z", 0ms);
+    Platform.replaceInAnswers(Odd, Bytes);
+    const int ListsBefore = Platform.calls().Lists;
+    CHECK_TRUE_TEXT(startEntry(), Bytes);
+    CHECK_TRUE_TEXT(Platform.calls().Lists - ListsBefore <= MaxLists, Bytes);
+    CHECK_TRUE_TEXT(serveAll(Targets), Bytes);
+    Entries.clear();
+  }
+}
+
 // Guards against a record with an odd name that arrives while the entry
 // watches.
 TEST(system_serve_keys, WatchesBesideOddNames) {
--- a/tests/unit-platform-odd-items.cpp
+++ b/tests/unit-platform-odd-items.cpp
@@ -1,5 +1,6 @@
 #include "gateway/detail/state_codec.hpp"
 #include "platform/json_fields.hpp"
+#include "platform/readable_text.hpp"
 #include "platform/wire.hpp"
 #include "skylarkdyke/membership/messages.hpp"
 #include "support/odd_values.hpp"
@@ -85,6 +86,32 @@
             .is_object());
 }
 
+// Guards against a document that is refused because of a name that is no text.
+TEST(platform_odd_items, WhatIsNoTextIsReplaced) {
+  const std::string R = "\xef\xbf\xbd";
+  for (const auto &[Bytes, Readable] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"a\xff!", "a" + R + "!"},
+           {"\xc3", R},
+           {"\xc0\xaf", R + R},
+           {"\xe2\x82!", R + R + "!"},
+           {"\xed\xa0\x80", R + R + R},
+           {"\\ud83d", R},
+           {"\\udcff\\ud83d\\udc26", R + "\xf0\x9f\x90\xa6"},
+           {"\\ud83d\\ud83d\\udc26", R + "\xf0\x9f\x90\xa6"},
+           {"\\\\udcff", "\\udcff"},
+           {"\xc3\xbc\xe2\x82\xac", "\xc3\xbc\xe2\x82\xac"}}) {
+    const json Parsed =
+        json::parse(platform::toReadableText("\"" + Bytes + "\""));
+    STRCMP_EQUAL(Readable.c_str(), Parsed.get<std::string>().c_str());
+  }
+  CHECK_TRUE(rc::check([](const std::string &Bytes) {
+    static_cast<void>(platform::toReadableText(Bytes));
+    const std::string Escaped = platform::toReadableText("\"\\u" + Bytes);
+    RC_ASSERT(!Escaped.empty());
+  }));
+}
+
 // Guards against numbers that are cut to their low bits, and against records
 // that name no target but are used as one.
 TEST(platform_odd_items, RecordsWithValuesOutOfRangeNameNoTarget) {
