--- a/tests/unit-platform-odd-items.cpp
+++ b/tests/unit-platform-odd-items.cpp
@@ -102,6 +102,7 @@
            {"\\udcff\\ud83d\\udc26", R + "\xf0\x9f\x90\xa6"},
            {"\\ud83d\\ud83d\\udc26", R + "\xf0\x9f\x90\xa6"},
            {"\\\\udcff", "\\udcff"},
+           {"\\\\\xff", "\\" + R},
            {"\xc3\xbc\xe2\x82\xac", "\xc3\xbc\xe2\x82\xac"}}) {
     const json Parsed =
         json::parse(platform::toReadableText("\"" + Bytes + "\""));
