--- a/tests/support/served_entry.cpp
+++ b/tests/support/served_entry.cpp
@@ -63,6 +63,16 @@
   return {std::istreambuf_iterator<char>(File), {}};
 }
 
+std::size_t served_entry::peakMemoryBytes() const {
+  std::ifstream Status("/proc/" + std::to_string(Process->id()) + "/status");
+  std::string Word;
+  std::size_t Kilobytes = 0;
+  while (Status >> Word)
+    if (Word == "VmHWM:")
+      Status >> Kilobytes;
+  return Kilobytes * 1024;
+}
+
 double served_entry::metric(const std::string &Name) const {
   http::request Request;
   Request.Target = "/metrics";
--- a/tests/support/served_entry.hpp
+++ b/tests/support/served_entry.hpp
@@ -46,6 +46,10 @@
   /// \brief What the process has logged since its first start.
   std::string log() const;
 
+  /// \brief Most memory that the running process has held, in bytes; 0 if that
+  /// is unknown.
+  std::size_t peakMemoryBytes() const;
+
   /// \brief Value of a metric of the process, 0 if it has none.
   /// \param Name name with its labels, as in the text format
   double metric(const std::string &Name) const;
--- a/tests/system-serve-floods.cpp
+++ b/tests/system-serve-floods.cpp
@@ -1,10 +1,10 @@
 #include "support/platform_stand_in.hpp"
 #include "support/scripted_target.hpp"
 #include "support/served_entry.hpp"
+#include "support/signed_answer.hpp"
 #include "support/wait_until.hpp"
 
 #include <atomic>
-#include <fstream>
 #include <memory>
 #include <optional>
 #include <thread>
@@ -17,6 +17,7 @@
 using namespace std::chrono_literals;
 using test_support::scripted_request;
 using test_support::scripted_target;
+using test_support::signedLines;
 using test_support::statusOf;
 
 /// Memory of the process in its settings.
@@ -28,12 +29,6 @@
 /// Longer than the timeout of the route.
 static constexpr std::chrono::milliseconds Silence{4000};
 
-static std::string ownLines(const scripted_request &Request) {
-  return "Skylarkdyke-Response-Signature: signed\r\n"
-         "Skylarkdyke-Request-Id: " +
-         Request.requestId() + "\r\n";
-}
-
 /// Half of the targets of a service send what a test scripts, the others
 /// answer. Many clients ask for it at the same time.
 TEST_GROUP(system_serve_floods) {
@@ -50,7 +45,7 @@
 
   void serve(const scripted_request &Request) const {
     std::this_thread::sleep_for(Work.load());
-    Request.send("HTTP/1.1 200 OK\r\n" + ownLines(Request) +
+    Request.send("HTTP/1.1 200 OK\r\n" + signedLines(Request) +
                  "Content-Length: 2\r\n\r\nok");
   }
 
@@ -105,17 +100,6 @@
       Thread.join();
   }
 
-  std::size_t peakMemoryBytes() {
-    std::ifstream Status("/proc/" + std::to_string(Entry->program().id()) +
-                         "/status");
-    std::string Word;
-    std::size_t Kilobytes = 0;
-    while (Status >> Word)
-      if (Word == "VmHWM:")
-        Status >> Kilobytes;
-    return Kilobytes * 1024;
-  }
-
   /// Plays, and checks that the process lives within its memory and that other
   /// targets served meanwhile.
   void check(const scripted_target::handler &Script) {
@@ -123,7 +107,7 @@
     play();
     CHECK_FALSE_TEXT(Entry->program().waitFor(0ms).has_value(),
                      Entry->log().substr(0, 2000).c_str());
-    const std::size_t Bytes = peakMemoryBytes();
+    const std::size_t Bytes = Entry->peakMemoryBytes();
     const std::string Text = "held " + std::to_string(Bytes) + ", served " +
                              std::to_string(Served) + ", unanswered " +
                              std::to_string(Unanswered);
@@ -147,7 +131,7 @@
 // because of bytes without end.
 TEST(system_serve_floods, ChunkedBodiesWithoutEnd) {
   check([](const scripted_request &Request) {
-    Request.send(ServerError + ownLines(Request) +
+    Request.send(ServerError + signedLines(Request) +
                  "Transfer-Encoding: chunked\r\n\r\n");
     Request.sendWithoutEnd("20000\r\n" + std::string(131072, '?') + "\r\n");
   });
@@ -155,14 +139,14 @@
 
 TEST(system_serve_floods, BodiesOfAnUnknownLengthWithoutEnd) {
   check([](const scripted_request &Request) {
-    Request.send(ServerError + ownLines(Request) + "\r\n");
+    Request.send(ServerError + signedLines(Request) + "\r\n");
     Request.sendWithoutEnd(std::string(131072, '?'));
   });
 }
 
 TEST(system_serve_floods, BodiesThatAreStreamedWithoutEnd) {
   check([](const scripted_request &Request) {
-    Request.send("HTTP/1.1 200 OK\r\n" + ownLines(Request) + "\r\n");
+    Request.send("HTTP/1.1 200 OK\r\n" + signedLines(Request) + "\r\n");
     Request.sendWithoutEnd(std::string(131072, '?'));
   });
 }
@@ -193,7 +177,7 @@
 TEST(system_serve_floods, LargeBodiesThatStopShortOfTheirEnd) {
   constexpr std::size_t Length = 3900000;
   check([](const scripted_request &Request) {
-    Request.send(ServerError + ownLines(Request) +
+    Request.send(ServerError + signedLines(Request) +
                  "Content-Length: " + std::to_string(Length) + "\r\n\r\n" +
                  std::string(Length - 1, 'b'));
     std::this_thread::sleep_for(Silence);
@@ -216,7 +200,7 @@
       return serve(Request);
     Work = 2s;
     std::this_thread::sleep_for(40ms * (++ErrorCount % ErrorsInTurn));
-    Request.send(ServerError + ownLines(Request) +
+    Request.send(ServerError + signedLines(Request) +
                  "Content-Length: " + std::to_string(Length) + "\r\n\r\n" +
                  std::string(Length, 'b'));
   });
@@ -238,7 +222,7 @@
                 test_support::served_limits{MemoryMb, 1000});
   CHECK_FALSE(Entry->start());
   CHECK_FALSE(Entry->program().waitFor(0ms).has_value());
-  const std::size_t Bytes = peakMemoryBytes();
+  const std::size_t Bytes = Entry->peakMemoryBytes();
   CHECK_TRUE_TEXT(Bytes > 0 && Bytes <= MemoryMb * 1000000UL,
                   ("held " + std::to_string(Bytes)).c_str());
 }
--- a/tests/system-serve-hostile.cpp
+++ b/tests/system-serve-hostile.cpp
@@ -6,7 +6,6 @@
 #include "support/wait_until.hpp"
 
 #include <filesystem>
-#include <fstream>
 #include <optional>
 #include <thread>
 
@@ -86,17 +85,6 @@
 
   void setup() override { start({MemoryMb, MaxDescriptors}, MaxBodyBytes); }
 
-  std::size_t peakMemoryBytes() {
-    std::ifstream Status("/proc/" + std::to_string(Entry->program().id()) +
-                         "/status");
-    std::string Word;
-    std::size_t Kilobytes = 0;
-    while (Status >> Word)
-      if (Word == "VmHWM:")
-        Status >> Kilobytes;
-    return Kilobytes * 1024;
-  }
-
   std::size_t openDescriptors() {
     const std::filesystem::directory_iterator Files(
         "/proc/" + std::to_string(Entry->program().id()) + "/fd");
@@ -119,7 +107,7 @@
     const std::size_t Descriptors = openDescriptors();
     CHECK_TRUE(servesOrdinaryRequests());
     CHECK_FALSE(Entry->program().waitFor(0ms).has_value());
-    const std::size_t Bytes = peakMemoryBytes();
+    const std::size_t Bytes = Entry->peakMemoryBytes();
     CHECK_TRUE_TEXT(Bytes > 0, "memory of the process is unknown");
     CHECK_TRUE_TEXT(Bytes <= MemoryMb * 1000000UL,
                     ("held " + std::to_string(Bytes)).c_str());
@@ -232,5 +220,5 @@
                                 "10000\r\n" + std::string(65536, 'b') + "\r\n",
                                 DeployedMaxBodyBytes / 65536, "0\r\n\r\n"})
                    .c_str());
-  CHECK_TRUE(peakMemoryBytes() <= 260000000UL);
+  CHECK_TRUE(Entry->peakMemoryBytes() <= 260000000UL);
 }
--- a/tests/system-serve-odd-answers.cpp
+++ b/tests/system-serve-odd-answers.cpp
@@ -1,8 +1,6 @@
-#include "support/joined.hpp"
 #include "support/lone_target_fixture.hpp"
-#include "support/raw_client.hpp"
+#include "support/signed_answer.hpp"
 
-#include <mutex>
 #include <thread>
 #include <vector>
 
@@ -14,25 +12,11 @@
 using test_support::joined;
 using test_support::scripted_request;
 using test_support::scripted_target;
+using test_support::signedAnswer;
+using test_support::signedLines;
 using test_support::statusOf;
-using test_support::waitUntil;
-
-static const std::string Ok = "HTTP/1.1 200 OK\r\n";
-
-/// Lines that sign a response and name its request.
-static std::string ownLines(const scripted_request &Request) {
-  return "Skylarkdyke-Response-Signature: signed\r\n"
-         "Skylarkdyke-Request-Id: " +
-         Request.requestId() + "\r\n";
-}
-
-static std::string withLength(const std::string &Body) {
-  return "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
-}
-
-static std::string success(const scripted_request &Request) {
-  return Ok + ownLines(Request) + withLength("answer to " + Request.path());
-}
+using test_support::StatusOk;
+using test_support::withLength;
 
 namespace {
 
@@ -59,7 +43,7 @@
     // What follows bytes that are no answer is none either.
     for (const std::string &Rest :
          {withLength(OddBody), "\r\n" + OddBody,
-          withLength("") + Ok + "{id}" + withLength(OddBody)})
+          withLength("") + StatusOk + "{id}" + withLength(OddBody)})
       for (const bool Closes : {true, false})
         Answers.push_back({Start + Rest, Start + Rest, Closes});
   }
@@ -78,7 +62,7 @@
       for (const bool IsFirst : {true, false})
         Answers.push_back(
             {joined({Byte, " in ", Line}),
-             joined({Ok, IsFirst ? "" : "{id}" + Before, Line,
+             joined({StatusOk, IsFirst ? "" : "{id}" + Before, Line,
                      IsFirst ? "{id}" : "", withLength(OddBody)})});
   }
   for (const std::string Line :
@@ -86,16 +70,17 @@
         " Content-Length: 3\r\n", "\tContent-Length: 3\r\n",
         "Transfer Encoding: chunked\r\n", " Transfer-Encoding: chunked\r\n"})
     Answers.push_back(
-        {Line, joined({Ok, "{id}", Before, Line, "\r\n", OddBody})});
+        {Line, joined({StatusOk, "{id}", Before, Line, "\r\n", OddBody})});
   Answers.push_back(
-      {"trailer", Ok + "{id}Transfer-Encoding: chunked\r\n\r\n8\r\n" + OddBody +
-                      "\r\n0\r\nX Odd: v\r\n\r\n"});
+      {"trailer",
+       joined({StatusOk, "{id}Transfer-Encoding: chunked\r\n\r\n8\r\n", OddBody,
+               "\r\n0\r\nX Odd: v\r\n\r\n"})});
   return Answers;
 }
 
 static std::string bytesFor(const odd_answer &Answer,
                             const scripted_request &Request) {
-  const std::string Lines = ownLines(Request);
+  const std::string Lines = signedLines(Request);
   std::string Bytes = Answer.Bytes;
   for (std::size_t At = Bytes.find("{id}"); At != std::string::npos;
        At = Bytes.find("{id}"))
@@ -113,25 +98,33 @@
     CHECK_TEXT(Response.find(Part) == std::string::npos, Text.c_str());
 }
 
-TEST_GROUP_BASE(system_serve_odd_answers, test_support::lone_target_fixture){
-    /// Lets targets send what is no answer, and checks what callers get.
-    void checkOddAnswers(const std::vector<odd_answer> &Answers){int Count = 0;
-for (const odd_answer &Answer : Answers) {
-  const std::string Path = "/once/odd" + std::to_string(++Count);
-  const scripted_target Target([&](const scripted_request &Request) {
-    if (Request.path() != Path)
-      return Request.send(success(Request));
-    Request.send(bytesFor(Answer, Request));
-    Request.close();
-  });
-  useOnly(Target);
-  const std::string Response = ask("POST", Path, "odd");
-  LONGS_EQUAL_TEXT(1, Target.received(Path), Answer.Name.c_str());
-  checkNoAnswer(Answer, Response);
-}
-}
-}
-;
+namespace {
+
+class odd_answers_fixture : public test_support::lone_target_fixture {
+protected:
+  /// Lets targets send what is no answer, and checks what callers get.
+  void checkOddAnswers(const std::vector<odd_answer> &Answers) {
+    int Count = 0;
+    for (const odd_answer &Answer : Answers) {
+      const std::string Path = "/once/odd" + std::to_string(++Count);
+      const scripted_target Target([&](const scripted_request &Request) {
+        if (Request.path() != Path)
+          return Request.send(signedAnswer(Request));
+        Request.send(bytesFor(Answer, Request));
+        if (Answer.Closes)
+          Request.close();
+      });
+      useOnly(Target);
+      const std::string Response = ask("POST", Path, "odd");
+      LONGS_EQUAL_TEXT(1, Target.received(Path), Answer.Name.c_str());
+      checkNoAnswer(Answer, Response);
+    }
+  }
+};
+
+} // namespace
+
+TEST_GROUP_BASE(system_serve_odd_answers, odd_answers_fixture){};
 
 // Guards against a status that is no number of HTTP, and against fields whose
 // names hold a blank or a control byte: the line would be passed on, or the end
@@ -153,8 +146,9 @@
   const scripted_target Broken([&](const scripted_request &Request) {
     Request.send(bytesFor(Odd, Request));
   });
-  const scripted_target Sound(
-      [](const scripted_request &Request) { Request.send(success(Request)); });
+  const scripted_target Sound([](const scripted_request &Request) {
+    Request.send(signedAnswer(Request));
+  });
   useOnly(Sound);
   Platform.put("servers/broken", test_support::servedTarget(Broken.address()));
   // The part of the retry slack that an entry uses begins a while after its
@@ -175,12 +169,12 @@
     const std::string Path = "/once/" + Id;
     const scripted_target Target([&](const scripted_request &Request) {
       if (Request.path() != Path)
-        return Request.send(success(Request));
+        return Request.send(signedAnswer(Request));
       const std::string Signature =
           "Skylarkdyke-Response-Signature: " + Id + "\r\n";
       const bool IsSigned = Id == "signed";
       Request.send(
-          joined({Ok, IsSigned ? Signature : "",
+          joined({StatusOk, IsSigned ? Signature : "",
                   "Skylarkdyke-Request-Id: ", Request.requestId(),
                   "\r\nTransfer-Encoding: chunked\r\n\r\n8\r\n", OddBody,
                   "\r\n0\r\nX-Odd: v\r\n", IsSigned ? "" : Signature, "\r\n"}));
--- a/tests/system-serve-uploads.cpp
+++ b/tests/system-serve-uploads.cpp
@@ -1,9 +1,8 @@
-#include "support/joined.hpp"
 #include "support/lone_target_fixture.hpp"
 #include "support/raw_client.hpp"
+#include "support/signed_answer.hpp"
 
 #include <thread>
-#include <vector>
 
 // Last, because it redefines "new".
 #include <CppUTest/TestHarness.h>
@@ -13,48 +12,36 @@
 using test_support::joined;
 using test_support::scripted_request;
 using test_support::scripted_target;
+using test_support::signedAnswer;
+using test_support::signedLines;
 using test_support::statusOf;
+using test_support::StatusOk;
 using test_support::waitUntil;
 
-static const std::string Ok = "HTTP/1.1 200 OK\r\n";
+TEST_GROUP_BASE(system_serve_uploads, test_support::lone_target_fixture){};
 
-/// Lines that sign a response and name its request.
-static std::string ownLines(const scripted_request &Request) {
-  return "Skylarkdyke-Response-Signature: signed\r\n"
-         "Skylarkdyke-Request-Id: " +
-         Request.requestId() + "\r\n";
+/// Sends an upload that does not fit the buffers of a connection.
+static std::string upload(const base::endpoint &Front, const std::string &Path,
+                          const std::string &Version) {
+  constexpr std::size_t Bytes = test_support::lone_target_fixture::MaxBodyBytes;
+  const test_support::raw_client Client(Front);
+  const std::string Fields = "\r\nHost: h.example\r\nConnection: close\r\n"
+                             "Skylarkdyke-Request-Id: upload\r\n"
+                             "Skylarkdyke-Request-Deadline: 2000\r\n"
+                             "Content-Length: ";
+  Client.send(joined({"POST ", Path, " ", Version, Fields,
+                      std::to_string(Bytes), "\r\n\r\n"}));
+  Client.send(std::string(Bytes, 'u'));
+  std::string Response;
+  waitUntil(
+      [&] {
+        Response += Client.receive();
+        return Client.isClosed();
+      },
+      5s);
+  return Response;
 }
 
-static std::string withLength(const std::string &Body) {
-  return "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
-}
-
-static std::string success(const scripted_request &Request) {
-  return Ok + ownLines(Request) + withLength("answer to " + Request.path());
-}
-
-TEST_GROUP_BASE(system_serve_uploads, test_support::lone_target_fixture){
-    /// Sends an upload that does not fit the buffers of a connection.
-    std::string upload(const std::string &Path, const std::string &Version){
-        const test_support::raw_client Client(Entry.front());
-Client.send("POST " + Path + " " + Version +
-            "\r\nHost: h.example\r\nConnection: close\r\n"
-            "Skylarkdyke-Request-Id: upload\r\n"
-            "Skylarkdyke-Request-Deadline: 2000\r\nContent-Length: " +
-            std::to_string(MaxBodyBytes) + "\r\n\r\n");
-Client.send(std::string(MaxBodyBytes, 'u'));
-std::string Response;
-waitUntil(
-    [&] {
-      Response += Client.receive();
-      return Client.isClosed();
-    },
-    5s);
-return Response;
-}
-}
-;
-
 static const std::string HalfOfABody = "half of a body";
 
 /// Whether a response to an upload could be taken for a whole one: a caller of
@@ -84,15 +71,15 @@
         const scripted_target Target(
             [&](const scripted_request &Request) {
               if (Request.path() != Path)
-                return Request.send(success(Request));
-              Request.send(
-                  joined({Ok, ownLines(Request), "\r\n", HalfOfABody}));
+                return Request.send(signedAnswer(Request));
+              Request.send(joined(
+                  {StatusOk, signedLines(Request), "\r\n", HalfOfABody}));
               std::this_thread::sleep_for(Pause);
               Request.reset();
             },
             test_support::answer_time::AfterHeader);
         useOnly(Target);
-        const std::string Response = upload(Path, Version);
+        const std::string Response = upload(Entry.front(), Path, Version);
         const std::string Name =
             joined({Path, " ", Version, " after ",
                     std::to_string(Pause.count()), " ms:\n", Response});
@@ -111,15 +98,16 @@
     const scripted_target Target(
         [&](const scripted_request &Request) {
           if (Request.path() != Path)
-            return Request.send(success(Request));
-          Request.send(joined({Ok, ownLines(Request), "\r\n", HalfOfABody}));
+            return Request.send(signedAnswer(Request));
+          Request.send(
+              joined({StatusOk, signedLines(Request), "\r\n", HalfOfABody}));
           std::this_thread::sleep_for(Pause);
           Request.endSending();
           std::this_thread::sleep_for(200ms);
         },
         test_support::answer_time::AfterHeader);
     useOnly(Target);
-    const std::string Response = upload(Path, "HTTP/1.1");
+    const std::string Response = upload(Entry.front(), Path, "HTTP/1.1");
     CHECK_TEXT(looksWhole(Response), Response.c_str());
     STRCMP_CONTAINS(HalfOfABody.c_str(), Response.c_str());
   }
