--- a/tests/system-serve-keys.cpp
+++ b/tests/system-serve-keys.cpp
@@ -174,6 +174,26 @@
   }
 }
 
+// Guards against a listing that ends for good where a page holds nothing but
+// names that are no text: none of them can be named in the next request.
+TEST(system_serve_keys, StartsBesidePagesOfNamesThatAreNoText) {
+  const std::string Odd = "\xef\xbf\xbe";
+  static constexpr int OddNames = 3 * PageSize;
+  for (const char *Prefix : {"servers/", "entries/", "blocked/"})
+    for (int I = 0; I < OddNames; ++I)
+      Platform.put(joined({Prefix, "a", Odd, std::to_string(I)}), Unreadable);
+  for (const char *Bytes : {"\xff", "\\udcff", "\\ud83d", "\xe2\x82"}) {
+    for (const std::string &Target : Targets)
+      Platform.addTarget(Target, "orders", "z", 0ms);
+    Platform.replaceInAnswers(Odd, Bytes);
+    const int ListsBefore = Platform.calls().Lists;
+    CHECK_TRUE_TEXT(startEntry(), Bytes);
+    CHECK_TRUE_TEXT(Platform.calls().Lists - ListsBefore <= MaxLists, Bytes);
+    CHECK_TRUE_TEXT(serveAll(Targets), Bytes);
+    Entries.clear();
+  }
+}
+
 // Guards against a record with an odd name that arrives while the entry
 // watches.
 TEST(system_serve_keys, WatchesBesideOddNames) {
