Test that an entry registers under a name with odd characters

It held already; the test stays.

The two tests of watches that bring nothing share their text; their checks and bounds are the same.

--- a/tests/support/platform_stand_in.cpp
+++ b/tests/support/platform_stand_in.cpp
@@ -358,6 +358,13 @@
   Impl->onLoop([&] { return Impl->put(Key, "", true); });
 }
 
+std::string platform_stand_in::valueOf(const std::string &Key) const {
+  return Impl->onLoop([&] {
+    const auto Found = Impl->Items.find(Key);
+    return Found == Impl->Items.end() ? std::string() : Found->second.Value;
+  });
+}
+
 void platform_stand_in::silenceWaitingWatches() {
   Impl->onLoop([this] {
     for (const waiting_watch &Watch : Impl->Watches) {
--- a/tests/support/platform_stand_in.hpp
+++ b/tests/support/platform_stand_in.hpp
@@ -44,6 +44,8 @@
   /// \brief Writes an item; watches see it.
   void put(const std::string &Key, const std::string &Value);
   void remove(const std::string &Key);
+  /// \brief Value of an item; empty if there is none.
+  std::string valueOf(const std::string &Key) const;
 
   /// \brief From now on a page of a listing has at most this many items.
   void setPageSize(std::size_t ItemCount);
--- a/tests/support/served_entry.cpp
+++ b/tests/support/served_entry.cpp
@@ -43,6 +43,15 @@
   std::filesystem::remove_all(Folder);
 }
 
+void served_entry::rename(const std::string &Name) {
+  const std::string Start = "node_name = \"";
+  std::ifstream File(Folder / "entry.toml");
+  std::string Settings{std::istreambuf_iterator<char>(File), {}};
+  const std::size_t From = Settings.find(Start) + Start.size();
+  Settings.replace(From, Settings.find('"', From) - From, Name);
+  std::ofstream(Folder / "entry.toml") << Settings;
+}
+
 bool served_entry::start() {
   Process.emplace(
       std::vector<std::string>{"serve", (Folder / "entry.toml").string()},
--- a/tests/support/served_entry.hpp
+++ b/tests/support/served_entry.hpp
@@ -32,6 +32,10 @@
   served_entry(const served_entry &) = delete;
   served_entry &operator=(const served_entry &) = delete;
 
+  /// \brief Changes the name in the settings, for the next start.
+  /// \param Name without characters that TOML escapes
+  void rename(const std::string &Name);
+
   /// \brief Starts the process, again if it has ended.
   /// \return whether it has become ready
   bool start();
--- a/tests/system-serve-keys.cpp
+++ b/tests/system-serve-keys.cpp
@@ -118,6 +118,20 @@
     return {After.Lists - Before.Lists, After.Watches - Before.Watches};
   }
 
+  /// Checks the watches of a second while the store has a fault, and that
+  /// changes arrive after it.
+  void checkPauses(store_fault Fault) {
+    Platform.addTarget("t1", "orders", "z", 0ms);
+    CHECK_TRUE(startEntry());
+    const store_calls Calls = callsDuring(Fault);
+    Platform.setFault(store_fault::None);
+    CHECK_TRUE_TEXT(Calls.Watches <= MaxCallsPerSecond,
+                    std::to_string(Calls.Watches).c_str());
+    CHECK_TRUE(Calls.Watches > 0);
+    Platform.addTarget("t2", "orders", "z", 0ms);
+    CHECK_TRUE(serveAll({"t1", "t2"}));
+  }
+
   std::size_t linesWith(const std::string &Text) const {
     const std::string Log = Entries.at(0)->log();
     std::size_t Count = 0;
@@ -209,6 +223,30 @@
                                        "}"));
 }
 
+// Guards against a registration that is written or read under another key than
+// that of the entry: another writer may remove it at any time.
+TEST(system_serve_keys, RegistersAgainUnderAnOddName) {
+  Platform.addTarget("t1", "orders", "z", 0ms);
+  for (const char *Odd : {"", "&", "+", "#", "%20", " ", "?=/", "\xc3\xbc"}) {
+    const std::string Name = joined({"e", Odd, "1"});
+    const std::string Key = "entries/" + Name;
+    Entries.push_back(std::make_unique<served_entry>(Platform.storeAddress()));
+    served_entry &Entry = *Entries.back();
+    const auto IsRegistered = [&] {
+      return Platform.valueOf(Key) == base::toString(Entry.mesh());
+    };
+    Entry.rename(Name);
+    CHECK_TRUE_TEXT(Entry.start(), Odd);
+    CHECK_TRUE_TEXT(waitUntil(IsRegistered, 5s), Odd);
+    Platform.remove(Key);
+    CHECK_TRUE_TEXT(waitUntil(IsRegistered, 5s), Odd);
+    LONGS_EQUAL_TEXT(
+        0, Entry.metric("skylarkdyke_store_calls{kind=\"failed\"}"), Odd);
+    Entries.clear();
+    Platform.remove(Key);
+  }
+}
+
 // Guards against a log that a record of another writer fills, or whose lines it
 // breaks, and against records that are left out without a trace.
 TEST(system_serve_keys, AnUnusableItemIsLoggedOnceAndCounted) {
@@ -280,25 +318,9 @@
 }
 
 TEST(system_serve_keys, AHistoryThatIsNeverThereIsAskedForWithPauses) {
-  Platform.addTarget("t1", "orders", "z", 0ms);
-  CHECK_TRUE(startEntry());
-  const store_calls Calls = callsDuring(store_fault::ForgetsHistory);
-  Platform.setFault(store_fault::None);
-  CHECK_TRUE_TEXT(Calls.Watches <= MaxCallsPerSecond,
-                  std::to_string(Calls.Watches).c_str());
-  CHECK_TRUE(Calls.Watches > 0);
-  Platform.addTarget("t2", "orders", "z", 0ms);
-  CHECK_TRUE(serveAll({"t1", "t2"}));
+  checkPauses(store_fault::ForgetsHistory);
 }
 
 TEST(system_serve_keys, WatchesThatEndAtOnceAreRepeatedWithPauses) {
-  Platform.addTarget("t1", "orders", "z", 0ms);
-  CHECK_TRUE(startEntry());
-  const store_calls Calls = callsDuring(store_fault::EndsWatches);
-  Platform.setFault(store_fault::None);
-  CHECK_TRUE_TEXT(Calls.Watches <= MaxCallsPerSecond,
-                  std::to_string(Calls.Watches).c_str());
-  CHECK_TRUE(Calls.Watches > 0);
-  Platform.addTarget("t2", "orders", "z", 0ms);
-  CHECK_TRUE(serveAll({"t1", "t2"}));
+  checkPauses(store_fault::EndsWatches);
 }
