Keep the processing times of a route apart by service

Callers would see: 503 no_room for a route that a new version has moved from a slow service to a fast one, until 5 s had passed without an answer of it. With a traffic split, what a slow part takes refuses requests of the other one.

Evidence: placement_placer.ASlowServiceSaysNothingAboutAnotherOne; before this commit no target was chosen. The comment on JoinedTargetGetsARequest, which stood at another test, is back at its own.

Why it works: times, and the time of the last answer, are kept by service and route. A service without samples refuses nothing because of assumed times.

--- a/include/skylarkdyke/placement/processing_time_model.hpp
+++ b/include/skylarkdyke/placement/processing_time_model.hpp
@@ -24,10 +24,14 @@
 };
 
 /// \brief Estimates the processing time of each route's requests at warm and at
-/// other targets, and tracks which targets are warm for which objects.
+/// other targets of a service, and tracks which targets are warm for which
+/// objects.
+///
+/// A route may be moved to another service, or be split over several; what was
+/// measured at one of them says nothing about another one.
 ///
 /// Reads no clock: the time is passed as an argument. Not thread-safe. Memory
-/// is bounded by MaxTrackedPairs and the number of routes.
+/// is bounded by MaxTrackedPairs and the number of pairs of route and service.
 class processing_time_model {
 public:
   /// Maximum number of tracked pairs of object and target.
@@ -41,29 +45,34 @@
   void recordHandled(std::uint64_t ObjectHash, std::uint64_t TargetSeed,
                      base::boot_time Now);
 
-  /// \brief Adds a sample of the processing time of a route.
+  /// \brief Adds a sample of the processing time of a route at a service.
   /// \param ProcessingTime measured time of a request that did not wait for a
   /// slot
-  void recordSample(const std::string &RouteName, bool Warm,
+  void recordSample(const routing::route &Route,
+                    const base::service_name &Service, bool Warm,
                     std::chrono::nanoseconds ProcessingTime);
 
-  /// \brief Records that a request of a route was answered.
-  void recordAnswer(const std::string &RouteName, base::boot_time Now);
+  /// \brief Records that a request of a route was answered at a service.
+  void recordAnswer(const routing::route &Route,
+                    const base::service_name &Service, base::boot_time Now);
 
-  /// \brief Whether the processing time of a route has been measured, and
-  /// requests of the route were answered lately. Otherwise the measured time
-  /// may be that of an earlier route of the same name.
-  bool hasSamples(const std::string &RouteName, base::boot_time Now) const;
+  /// \brief Whether the processing time of a route at a service has been
+  /// measured, and requests were answered there lately. Otherwise the measured
+  /// time may be that of an earlier route of the same name.
+  bool hasSamples(const routing::route &Route,
+                  const base::service_name &Service, base::boot_time Now) const;
 
-  /// \brief Expected processing times; derived from the latency objective
-  /// until there is a sample.
-  processing_time_estimate estimate(const routing::route &Route) const;
+  /// \brief Expected processing times at a service; derived from the latency
+  /// objective until there is a sample.
+  processing_time_estimate estimate(const routing::route &Route,
+                                    const base::service_name &Service) const;
 
   /// \return ratio of a measured processing time to the expected one
   /// \param Warm whether the target was known to be warm for the object
-  double ratioToExpected(const routing::route &Route, bool Warm,
+  double ratioToExpected(const routing::route &Route,
+                         const base::service_name &Service, bool Warm,
                          std::chrono::nanoseconds ProcessingTime) const {
-    const auto Expected = estimate(Route).expected(Warm ? 1 : 0);
+    const auto Expected = estimate(Route, Service).expected(Warm ? 1 : 0);
     return static_cast<double>(ProcessingTime.count()) /
            static_cast<double>(Expected.count() > 0 ? Expected.count() : 1);
   }
@@ -74,7 +83,13 @@
     std::chrono::duration<double> NotWarm{0};
     base::boot_time AnsweredAt{};
   };
-  std::unordered_map<std::string, route_times> TimesByRoute;
+  using times_by_route = std::unordered_map<std::string, route_times>;
+
+  /// What is known of a route at a service; null if nothing is.
+  const route_times *find(const routing::route &Route,
+                          const base::service_name &Service) const;
+
+  std::unordered_map<base::service_name, times_by_route> TimesByService;
   std::unordered_map<std::uint64_t, base::boot_time> LastHandledAt;
 };
 
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -363,7 +363,7 @@
     return false;
   // Without samples the processing time is an assumption, which must not cause
   // a refusal.
-  if (!ProcessingTimes.hasSamples(Query.Route->Name, Now))
+  if (!ProcessingTimes.hasSamples(*Query.Route, Query.Service->Name, Now))
     return Now + Best.Wait <= Query.Deadline;
   if (Now + Best.CompletionTime > Query.Deadline)
     return false;
@@ -391,7 +391,8 @@
 placer::best_candidates placer::findBest(std::vector<candidate> &Candidates,
                                          const placement_query &Query,
                                          base::boot_time Now) {
-  const auto Estimate = ProcessingTimes.estimate(*Query.Route);
+  const auto Estimate =
+      ProcessingTimes.estimate(*Query.Route, Query.Service->Name);
   best_candidates Best;
   for (std::size_t Rank = 0; Rank < Candidates.size(); ++Rank) {
     candidate &Candidate = Candidates[Rank];
@@ -471,17 +472,19 @@
   const target_state *State = Registry.find(Chosen.Id);
   if (State == nullptr)
     return;
-  ProcessingTimes.recordAnswer(Query.Route->Name, Now);
+  ProcessingTimes.recordAnswer(*Query.Route, Query.Service->Name, Now);
   const nanoseconds MeasuredTime =
       std::max<nanoseconds>(Latency - roundTrip(State->Region), nanoseconds(1));
   if (Chosen.ExpectedWait == nanoseconds(0) &&
       !target_registry::isCold(*State, Now)) {
     // A slowdown that the target reports itself is no lasting property of it.
     Registry.recordLatencyRatio(
-        Chosen.Id, ProcessingTimes.ratioToExpected(*Query.Route, Chosen.Warm,
-                                                   MeasuredTime) /
-                       target_registry::expectedSlowdown(*State, Now));
-    ProcessingTimes.recordSample(Query.Route->Name, Chosen.Warm, MeasuredTime);
+        Chosen.Id,
+        ProcessingTimes.ratioToExpected(*Query.Route, Query.Service->Name,
+                                        Chosen.Warm, MeasuredTime) /
+            target_registry::expectedSlowdown(*State, Now));
+    ProcessingTimes.recordSample(*Query.Route, Query.Service->Name, Chosen.Warm,
+                                 MeasuredTime);
   }
   ProcessingTimes.recordHandled(Query.ObjectHash, incarnationSeed(*State), Now);
 }
--- a/src/placement/processing_time_model.cpp
+++ b/src/placement/processing_time_model.cpp
@@ -36,44 +36,54 @@
   LastHandledAt[pairKey(ObjectHash, TargetSeed)] = Now;
 }
 
-void processing_time_model::recordSample(const std::string &RouteName,
+const processing_time_model::route_times *
+processing_time_model::find(const routing::route &Route,
+                            const base::service_name &Service) const {
+  const auto Times = TimesByService.find(Service);
+  if (Times == TimesByService.end())
+    return nullptr;
+  const auto Found = Times->second.find(Route.Name);
+  return Found == Times->second.end() ? nullptr : &Found->second;
+}
+
+void processing_time_model::recordSample(const routing::route &Route,
+                                         const base::service_name &Service,
                                          bool Warm,
                                          nanoseconds ProcessingTime) {
-  route_times &Route = TimesByRoute[RouteName];
-  auto &Average = Warm ? Route.Warm : Route.NotWarm;
+  route_times &Times = TimesByService[Service][Route.Name];
+  auto &Average = Warm ? Times.Warm : Times.NotWarm;
   const std::chrono::duration<double> Sample = ProcessingTime;
   Average = Average.count() <= 0 ? Sample
                                  : Average + SampleWeight * (Sample - Average);
 }
 
-void processing_time_model::recordAnswer(const std::string &RouteName,
+void processing_time_model::recordAnswer(const routing::route &Route,
+                                         const base::service_name &Service,
                                          base::boot_time Now) {
-  TimesByRoute[RouteName].AnsweredAt = Now;
+  TimesByService[Service][Route.Name].AnsweredAt = Now;
 }
 
-bool processing_time_model::hasSamples(const std::string &RouteName,
+bool processing_time_model::hasSamples(const routing::route &Route,
+                                       const base::service_name &Service,
                                        base::boot_time Now) const {
-  const auto Found = TimesByRoute.find(RouteName);
-  return Found != TimesByRoute.end() &&
-         Found->second.NotWarm + Found->second.Warm > nanoseconds(0) &&
-         Now - Found->second.AnsweredAt < SampleRetention;
+  const route_times *Times = find(Route, Service);
+  return Times != nullptr && Times->NotWarm + Times->Warm > nanoseconds(0) &&
+         Now - Times->AnsweredAt < SampleRetention;
 }
 
 processing_time_estimate
-processing_time_model::estimate(const routing::route &Route) const {
-  const auto Found = TimesByRoute.find(Route.Name);
+processing_time_model::estimate(const routing::route &Route,
+                                const base::service_name &Service) const {
   const std::chrono::duration<double> Objective = Route.LatencyObjective;
-  std::chrono::duration<double> NotWarm = Found == TimesByRoute.end()
-                                              ? std::chrono::duration<double>(0)
-                                              : Found->second.NotWarm;
-  std::chrono::duration<double> Warm = Found == TimesByRoute.end()
-                                           ? std::chrono::duration<double>(0)
-                                           : Found->second.Warm;
-  if (NotWarm.count() <= 0)
-    NotWarm = Warm.count() > 0 ? Warm / AssumedWarmRatio : Objective;
-  if (Warm.count() <= 0)
-    Warm = Route.Sticky ? NotWarm * AssumedWarmRatio : NotWarm;
-  return {Warm, NotWarm};
+  const route_times *Times = find(Route, Service);
+  route_times Known = Times == nullptr ? route_times() : *Times;
+  if (Known.NotWarm.count() <= 0)
+    Known.NotWarm =
+        Known.Warm.count() > 0 ? Known.Warm / AssumedWarmRatio : Objective;
+  if (Known.Warm.count() <= 0)
+    Known.Warm =
+        Route.Sticky ? Known.NotWarm * AssumedWarmRatio : Known.NotWarm;
+  return {Known.Warm, Known.NotWarm};
 }
 
 } // namespace skylarkdyke::placement
--- a/tests/unit-placement-placer.cpp
+++ b/tests/unit-placement-placer.cpp
@@ -344,7 +344,6 @@
   STRCMP_EQUAL("north-a0", choose(query(1)).c_str());
 }
 
-// Guards against targets that join but never get a request.
 // Guards against a route that is refused for good because of the processing
 // time of an earlier route of its name: only answers renew that time.
 TEST(placement_placer, ARouteThatReplacesASlowOneIsServedAgain) {
@@ -363,6 +362,22 @@
   CHECK(!choose(ShortQuery()).empty());
 }
 
+// Guards against a route that is refused for a while after it has been moved to
+// another service, or at one part of a split, because of the processing time at
+// a slow service.
+TEST(placement_placer, ASlowServiceSaysNothingAboutAnotherOne) {
+  addTargets(2, NorthA);
+  for (int I = 0; I < 20; ++I)
+    serve(1, 1400ms);
+  Service.Name = base::service_name("fast");
+  auto Target = makeTarget("fast", NorthA);
+  Target.Service = Service.Name;
+  Registry.upsert(Target, Now);
+  auto Query = query(1);
+  Query.Deadline = Now + 300ms;
+  STRCMP_EQUAL("fast", choose(Query).c_str());
+}
+
 // Guards against targets that count as full for good after they were full with
 // the work of other entries: without requests they report nothing new.
 TEST(placement_placer, TargetsThatWereFullAreTriedAgain) {
@@ -412,6 +427,7 @@
   CHECK(!Warm());
 }
 
+// Guards against targets that join but never get a request.
 TEST(placement_placer, JoinedTargetGetsARequest) {
   addTargets(3, NorthA);
   for (std::uint64_t Object = 1; Object < 30; ++Object)
