Compare the key of a forwarded answer with the one that was sent

callers_outcomes.ForwardsTheCompleteAnswerOfTheTarget failed once, by a second.

Cause, in the test: a key holds the time in seconds, and the test made the expected one anew after the request, in the next second now and then.

The check is as strict: the answer must hold exactly the key that was sent.

--- a/tests/unit-callers-outcomes.cpp
+++ b/tests/unit-callers-outcomes.cpp
@@ -19,6 +19,8 @@
   test_support::fake_targets Targets;
   emulators::target_behaviour Behaviour;
   std::unique_ptr<test_support::fake_entry> Entry;
+  /// Key of the latest post. A key holds the time, in seconds.
+  std::string LastKey;
 
   void start(std::size_t TargetCount) {
     Behaviour.WorkTime = 1ms;
@@ -40,7 +42,8 @@
   }
 
   http::response post(http::header_map Headers = {}, int Socket = -1) {
-    return Entry->call("POST", "/s/orders/x", Entry->key("k"), "body",
+    LastKey = Entry->key("k");
+    return Entry->call("POST", "/s/orders/x", LastKey, "body",
                        std::move(Headers), Socket);
   }
 
@@ -67,7 +70,7 @@
   STRCMP_EQUAL("", header(Answer, "Connection").c_str());
   const auto Body = nlohmann::json::parse(Answer.Body);
   STRCMP_EQUAL("/x", Body["path"].get<std::string>().c_str());
-  STRCMP_EQUAL(Entry->key("k").c_str(), Body["key"].get<std::string>().c_str());
+  STRCMP_EQUAL(LastKey.c_str(), Body["key"].get<std::string>().c_str());
 }
 
 // Guards against delivering a partial answer, and against running a request
