--- a/tests/system-serve-keys.cpp
+++ b/tests/system-serve-keys.cpp
@@ -24,6 +24,10 @@
 /// Value of a record that nobody can read.
 static const std::string Unreadable = "\xff\xfe cannot be read";
 
+/// Part of a name that the store replaces by bytes that are no text. It sorts
+/// behind all ASCII, as these bytes do.
+static const std::string NoText = "\xef\xbf\xbe";
+
 static constexpr std::size_t PageSize = 5;
 /// Records whose names are alike but for the last character.
 static constexpr int OddRecords = 8;
@@ -108,6 +112,21 @@
       removeOddRecords(Prefix, Odd);
   }
 
+  /// Starts an entry for each form of a name that is no text: bytes that are no
+  /// UTF-8, as they are or escaped as half of a surrogate pair.
+  void checkStartsWithoutText() {
+    for (const char *Bytes : {"\xff", "\\udcff", "\\ud83d", "\xe2\x82"}) {
+      for (const std::string &Target : Targets)
+        Platform.addTarget(Target, "orders", "z", 0ms);
+      Platform.replaceInAnswers(NoText, Bytes);
+      const int ListsBefore = Platform.calls().Lists;
+      CHECK_TRUE_TEXT(startEntry(), Bytes);
+      CHECK_TRUE_TEXT(Platform.calls().Lists - ListsBefore <= MaxLists, Bytes);
+      CHECK_TRUE_TEXT(serveAll(Targets), Bytes);
+      Entries.clear();
+    }
+  }
+
   /// Calls of one second while the store has a fault.
   store_calls callsDuring(store_fault Fault) {
     Platform.setFault(Fault);
@@ -166,46 +185,25 @@
     checkStart(Odd);
 }
 
-// Guards against a whole page that is lost because a name on it is no text:
-// bytes that are no UTF-8, as they are or escaped as half of a surrogate pair.
+// Guards against a whole page that is lost because a name on it is no text.
 TEST(system_serve_keys, StartsBesideNamesThatAreNoText) {
-  // Sorts behind all ASCII, as the bytes do that are sent in its place.
-  const std::string Odd = "\xef\xbf\xbe";
   // The second page ends with such names.
   Platform.setPageSize(4);
   for (const char *Prefix : {"servers/", "entries/", "blocked/"})
     for (const char *Number : {"0", "1", "2"})
-      Platform.put(joined({Prefix, "a", Odd, Number}), Unreadable);
-  for (const char *Bytes : {"\xff", "\\udcff", "\\ud83d", "\xe2\x82"}) {
-    for (const std::string &Target : Targets)
-      Platform.addTarget(Target, "orders", "z", 0ms);
-    Platform.replaceInAnswers(Odd, Bytes);
-    const int ListsBefore = Platform.calls().Lists;
-    CHECK_TRUE_TEXT(startEntry(), Bytes);
-    CHECK_TRUE_TEXT(Platform.calls().Lists - ListsBefore <= MaxLists, Bytes);
-    CHECK_TRUE_TEXT(serveAll(Targets), Bytes);
-    Entries.clear();
-  }
+      Platform.put(joined({Prefix, "a", NoText, Number}), Unreadable);
+  checkStartsWithoutText();
 }
 
 // Guards against a listing that ends for good where a page holds nothing but
 // names that are no text: none of them can be named in the next request.
 TEST(system_serve_keys, StartsBesidePagesOfNamesThatAreNoText) {
-  const std::string Odd = "\xef\xbf\xbe";
   static constexpr int OddNames = 3 * PageSize;
   for (const char *Prefix : {"servers/", "entries/", "blocked/"})
     for (int I = 0; I < OddNames; ++I)
-      Platform.put(joined({Prefix, "a", Odd, std::to_string(I)}), Unreadable);
-  for (const char *Bytes : {"\xff", "\\udcff", "\\ud83d", "\xe2\x82"}) {
-    for (const std::string &Target : Targets)
-      Platform.addTarget(Target, "orders", "z", 0ms);
-    Platform.replaceInAnswers(Odd, Bytes);
-    const int ListsBefore = Platform.calls().Lists;
-    CHECK_TRUE_TEXT(startEntry(), Bytes);
-    CHECK_TRUE_TEXT(Platform.calls().Lists - ListsBefore <= MaxLists, Bytes);
-    CHECK_TRUE_TEXT(serveAll(Targets), Bytes);
-    Entries.clear();
-  }
+      Platform.put(joined({Prefix, "a", NoText, std::to_string(I)}),
+                   Unreadable);
+  checkStartsWithoutText();
 }
 
 // Guards against a record with an odd name that arrives while the entry
