--- a/include/skylarkdyke/base/event.hpp
+++ b/include/skylarkdyke/base/event.hpp
@@ -35,6 +35,10 @@
   PlatformUnavailable = 310,
   PlatformAvailable = 311,
   StoreItemUnusable = 312,
+  StoreHistoryLost = 313,
+  StoreListed = 314,
+  StoreListingDropped = 315,
+  StoreRestored = 316,
   // 400: mesh between entries
   MeshStarted = 400,
   MeshStopped = 401,
--- a/include/skylarkdyke/gateway/change_source.hpp
+++ b/include/skylarkdyke/gateway/change_source.hpp
@@ -52,6 +52,10 @@
   std::uint64_t Failed = 0;
   /// How often an item was read that could not be used.
   std::uint64_t UnusableItems = 0;
+  /// How often the store no longer had the history after a revision.
+  std::uint64_t HistoriesLost = 0;
+  /// Newest era in which the store has answered, see store_version.
+  std::uint64_t Era = 0;
 };
 
 /// \brief Watches the store for changes and registers this entry there.
--- a/src/gateway/detail/gauges.cpp
+++ b/src/gateway/detail/gauges.cpp
@@ -93,6 +93,12 @@
   setStoreCalls(Metrics, "write", Calls.Writes);
   setStoreCalls(Metrics, "renewal", Calls.Renewals);
   setStoreCalls(Metrics, "failed", Calls.Failed);
+  setStoreCalls(Metrics, "history_lost", Calls.HistoriesLost);
+  SetGauge(
+      "skylarkdyke_store_era",
+      "Newest era in which the store has answered; it rises each time that "
+      "the store comes back from a copy",
+      Calls.Era);
   SetGauge("skylarkdyke_store_items_unusable",
            "Times that an item of the store was read that cannot be used",
            Calls.UnusableItems);
--- a/src/gateway/detail/steering_state.cpp
+++ b/src/gateway/detail/steering_state.cpp
@@ -130,8 +130,11 @@
                                 std::uint64_t NewestRevision,
                                 std::uint64_t AsOf) {
   noteStoreAvailable();
-  if (AsOf < ConfirmedRevision)
+  if (AsOf < ConfirmedRevision) {
+    SKYLARKDYKE_LOG(WARNING, StoreListingDropped)
+        << "as_of=" << AsOf << " confirmed=" << ConfirmedRevision;
     return;
+  }
   replaceItems(Items, NewestRevision, AsOf);
   Freshness.confirm(Clock());
 }
