Name a point in the history of the store by era and revision

A revision alone says nothing once the store has come back from a copy. base::store_version is the pair, compared as a pair only; it replaces the revision in the state, the change log, what entries send each other, and the interface of the store's client. A message without an era has era 0, as entries of earlier versions send it. Tests: {0, N} in place of N, the checks are the same.

--- a/include/skylarkdyke/gateway/change_source.hpp
+++ b/include/skylarkdyke/gateway/change_source.hpp
@@ -2,6 +2,7 @@
 #define SKYLARKDYKE_GATEWAY_CHANGE_SOURCE_HPP
 
 #include "skylarkdyke/base/endpoint.hpp"
+#include "skylarkdyke/base/store_version.hpp"
 #include "skylarkdyke/routing/target.hpp"
 
 #include <chrono>
@@ -19,23 +20,23 @@
   /// \brief Replaces the state by a complete listing of the store.
   /// \param Items all items in the store
   /// \param NewestRevision revision of the newest item listed
-  /// \param AsOf store revision of the listing
+  /// \param AsOf version of the store that the listing shows
   virtual void replaceAll(const std::vector<routing::store_change> &Items,
-                          std::uint64_t NewestRevision, std::uint64_t AsOf) = 0;
+                          std::uint64_t NewestRevision,
+                          const base::store_version &AsOf) = 0;
 
   /// \brief Applies one change. Changes arrive in the order of their
-  /// revisions.
-  /// \param Revision store revision of the change
+  /// versions.
+  /// \param Version store version with which the change came into force
   virtual void apply(const routing::store_change &Change,
-                     std::uint64_t Revision) = 0;
+                     const base::store_version &Version) = 0;
 
   /// \brief Applies an item of a listing that is still being read, if it can
   /// be used without the rest.
   virtual void applyEarly(const routing::store_change &Change) = 0;
 
-  /// \brief Confirms that all changes up to a revision have been delivered.
-  /// \param AsOf store revision
-  virtual void confirmRevision(std::uint64_t AsOf) = 0;
+  /// \brief Confirms that all changes up to a version have been delivered.
+  virtual void confirmVersion(const base::store_version &AsOf) = 0;
 
   /// \brief Reports that a call to the store failed.
   /// \param Reason for the log
@@ -74,9 +75,9 @@
   /// entry, so that others find it.
   virtual void setWatching(bool Watching) = 0;
 
-  /// \brief Skips all changes up to a revision that the sink already has, for
+  /// \brief Skips all changes up to a version that the sink already has, for
   /// example from another entry.
-  virtual void skipTo(std::uint64_t Revision) = 0;
+  virtual void skipTo(const base::store_version &Version) = 0;
 
   /// \brief Sets the time for which changes are batched before the next watch
   /// call.
--- a/include/skylarkdyke/membership/messages.hpp
+++ b/include/skylarkdyke/membership/messages.hpp
@@ -3,6 +3,7 @@
 
 #include "skylarkdyke/base/endpoint.hpp"
 #include "skylarkdyke/base/names.hpp"
+#include "skylarkdyke/base/store_version.hpp"
 #include "skylarkdyke/quotas/messages.hpp"
 
 #include <chrono>
@@ -52,8 +53,8 @@
   bool Leaving = false;
   /// False while the entry watches the store and its calls fail.
   bool StoreReachable = true;
-  /// Store revision of the latest change that the entry has applied.
-  std::uint64_t ChangeRevision = 0;
+  /// Store version of the latest change that the entry has applied.
+  base::store_version ChangeVersion;
   /// Version of the configuration in force there; zero if there is none.
   std::uint64_t ConfigurationVersion = 0;
   /// Time since the store had no newer change; nothing if not known.
--- a/src/gateway/detail/change_log.cpp
+++ b/src/gateway/detail/change_log.cpp
@@ -5,23 +5,23 @@
 namespace skylarkdyke::gateway::detail {
 
 void change_log::add(const routing::store_change &Change,
-                     std::uint64_t Revision) {
-  Changes.push_back({Revision, Change});
+                     const base::store_version &Version) {
+  Changes.push_back({Version.Revision, Change});
   if (Changes.size() > MaxChanges) {
-    StartsAfter = Changes.front().Revision;
+    StartsAfter.Revision = Changes.front().Revision;
     Changes.pop_front();
   }
 }
 
-void change_log::restartAfter(std::uint64_t Revision) {
+void change_log::restartAfter(const base::store_version &Version) {
   Changes.clear();
-  StartsAfter = Revision;
+  StartsAfter = Version;
 }
 
 std::vector<recorded_change>
-change_log::changesAfter(std::uint64_t Revision) const {
+change_log::changesAfter(const base::store_version &Version) const {
   const auto First =
-      std::upper_bound(Changes.begin(), Changes.end(), Revision,
+      std::upper_bound(Changes.begin(), Changes.end(), Version.Revision,
                        [](std::uint64_t Left, const recorded_change &Right) {
                          return Left < Right.Revision;
                        });
--- a/src/gateway/detail/exchange_log.cpp
+++ b/src/gateway/detail/exchange_log.cpp
@@ -112,8 +112,10 @@
        {"team", Team},
        {"config_version",
         static_cast<std::int64_t>(Routes ? Routes->version() : 0)},
+       {"state_era",
+        static_cast<std::int64_t>(Context.State.confirmedVersion().Era)},
        {"state_revision",
-        static_cast<std::int64_t>(Context.State.confirmedRevision())},
+        static_cast<std::int64_t>(Context.State.confirmedVersion().Revision)},
        {"config_age_ms", Context.State.configurationAge(Now)},
        {"state_age_ms", nanoseconds(Context.State.age(Now).value_or(
                             std::chrono::milliseconds(-1)))},
--- a/src/gateway/detail/gauges.cpp
+++ b/src/gateway/detail/gauges.cpp
@@ -86,7 +86,7 @@
              "Time since the store is known to have had nothing newer",
              State.age(Now).value_or(std::chrono::milliseconds(0)));
   SetGauge("skylarkdyke_state_revision", "Store revision that is known here",
-           Sources.State.confirmedRevision());
+           Sources.State.confirmedVersion().Revision);
   const store_call_counts &Calls = Sources.StoreCalls;
   setStoreCalls(Metrics, "list", Calls.Lists);
   setStoreCalls(Metrics, "watch", Calls.Watches);
--- a/src/gateway/detail/mesh_link.cpp
+++ b/src/gateway/detail/mesh_link.cpp
@@ -41,7 +41,7 @@
 static constexpr double SnapshotLinkFraction = 0.5;
 static constexpr milliseconds MaxSnapshotBacklog{500};
 static constexpr double BytesPerMbit = 125000;
-/// Path of the state; the revision that the requester has follows.
+/// Path of the state; the version that the requester has follows.
 static const std::string StatePath = "/state?after=";
 
 mesh_link::mesh_link(boost::asio::io_context &Loop,
@@ -131,7 +131,7 @@
 void mesh_link::onHeartbeat(const membership::entry_status &Status) {
   const auto Now = base::boot_clock::now();
   State.noteOtherState(
-      {Status.ChangeRevision, Status.ConfigurationVersion, Status.StateAge});
+      {Status.ChangeVersion, Status.ConfigurationVersion, Status.StateAge});
   const bool IsNew = Members.recordHeartbeat(Status, Now);
   if (Members.takeDueIntroduction(Status, IsNew, Now))
     introduceTo(Status, Now);
@@ -149,7 +149,7 @@
   const auto Now = base::boot_clock::now();
   const membership::entry_status &Sender = Digest.Sender;
   State.noteOtherState(
-      {Sender.ChangeRevision, Sender.ConfigurationVersion, Sender.StateAge});
+      {Sender.ChangeVersion, Sender.ConfigurationVersion, Sender.StateAge});
   const bool Changed = Members.recordDigest(Digest, Now);
   if (!State.isComplete())
     fetchIfBehind(Now);
@@ -221,9 +221,9 @@
 /// failure domain. A datagram that is lost or too large is made up for by
 /// fetchIfBehind(): the next digest tells the revision.
 void mesh_link::publishChanges(base::boot_time Now) {
-  const std::uint64_t After =
-      std::exchange(PublishedRevision, State.confirmedRevision());
-  if (!Members.isRelay() || After == 0 || PublishedRevision <= After)
+  const base::store_version After =
+      std::exchange(PublishedVersion, State.confirmedVersion());
+  if (!Members.isRelay() || After.Revision == 0 || PublishedVersion <= After)
     return;
   const membership::state_update Update{OwnAddress,
                                         State.encodeStateAfter(After)};
@@ -285,11 +285,11 @@
     return std::nullopt;
   // A requester that gets an older state than this entry has would use what
   // has been withdrawn.
-  const bool Changed = SnapshotChangeRevision != State.changeRevision();
+  const bool Changed = SnapshotChangeVersion != State.changeVersion();
   if (Snapshot.empty() || Changed || Now - SnapshotAt > SnapshotLifetime) {
     Snapshot = State.encodeSnapshot();
     SnapshotAt = Now;
-    SnapshotChangeRevision = State.changeRevision();
+    SnapshotChangeVersion = State.changeVersion();
   }
   const std::chrono::duration<double> SendTime(
       static_cast<double>(Snapshot.size()) / SnapshotBytesPerSecond);
@@ -299,15 +299,25 @@
   return Snapshot;
 }
 
+/// Returns the version that a request for the state names; zero if it names
+/// none. Entries of earlier versions name a revision without an era.
+static base::store_version parseVersion(const std::string &Target) {
+  char *End = nullptr;
+  const std::uint64_t First =
+      std::strtoull(Target.c_str() + StatePath.size(), &End, 10);
+  return *End == '.'
+             ? base::store_version{First, std::strtoull(End + 1, nullptr, 10)}
+             : base::store_version{0, First};
+}
+
 void mesh_link::onStateRequest(
     const std::shared_ptr<net::pending_request> &Request) {
   const std::string Target(Request->request().target());
   if (Target.compare(0, StatePath.size(), StatePath) != 0)
     return Request->answer(net::makeResponse(404));
-  const std::uint64_t Revision =
-      std::strtoull(Target.c_str() + StatePath.size(), nullptr, 10);
-  const auto Bytes = State.hasChangesAfter(Revision)
-                         ? State.encodeStateAfter(Revision)
+  const base::store_version Version = parseVersion(Target);
+  const auto Bytes = State.hasChangesAfter(Version)
+                         ? State.encodeStateAfter(Version)
                          : takeSnapshot(base::boot_clock::now());
   if (!Bytes)
     return Request->answer(net::makeResponse(503, "ask another entry\n"));
@@ -319,10 +329,10 @@
 mesh_link::entriesAhead(base::boot_time Now) const {
   std::vector<const member *> Ahead;
   for (const member *Member : Members.liveMembers(Now)) {
-    // Only relays tell their revision to all; an entry without a state also
+    // Only relays tell their version to all; an entry without a state also
     // takes that of any other that is ready.
     const bool HasState = !State.isComplete() && Member->Status.Ready;
-    if (Member->Status.ChangeRevision > State.confirmedRevision() || HasState)
+    if (Member->Status.ChangeVersion > State.confirmedVersion() || HasState)
       Ahead.push_back(Member);
   }
   return Ahead;
@@ -334,17 +344,16 @@
 /// has to serve all.
 const mesh_link::member *
 mesh_link::chooseSource(std::vector<const member *> Ahead) const {
-  std::uint64_t NewestRevision = 0;
+  base::store_version Newest;
   for (const member *Member : Ahead)
-    NewestRevision = std::max(NewestRevision, Member->Status.ChangeRevision);
+    Newest = std::max(Newest, Member->Status.ChangeVersion);
   const bool IsFirst = FailedFetches == 0 && Fetches.empty();
   const auto IsExcluded = [&](const member *Member) {
     const bool IsAsked =
         std::any_of(Fetches.begin(), Fetches.end(), [&](const auto &Fetch) {
           return Fetch.From == Member->Status.MeshAddress;
         });
-    return IsAsked ||
-           (IsFirst && Member->Status.ChangeRevision < NewestRevision);
+    return IsAsked || (IsFirst && Member->Status.ChangeVersion < Newest);
   };
   Ahead.erase(std::remove_if(Ahead.begin(), Ahead.end(), IsExcluded),
               Ahead.end());
@@ -386,7 +395,7 @@
                                    base::boot_time Now) {
   const bool IsNewer = State.isComplete() &&
                        Status.ConfigurationVersion > State.version() &&
-                       Status.ChangeRevision > State.confirmedRevision();
+                       Status.ChangeVersion > State.confirmedVersion();
   if (IsNewer && Fetches.empty() && !Members.isRelay() &&
       Status.Domain == OwnStatus().Domain)
     fetchState(Status.MeshAddress, Now);
@@ -397,8 +406,8 @@
   Fetches.push_back({From, Now, Channel});
   net::http_request Request(
       bhttp::verb::get,
-      StatePath +
-          std::to_string(State.isComplete() ? State.confirmedRevision() : 0),
+      StatePath + base::toString(State.isComplete() ? State.confirmedVersion()
+                                                    : base::store_version()),
       11);
   Request.set(bhttp::field::host, base::toString(From));
   Request.set(bhttp::field::connection, "close");
@@ -426,7 +435,7 @@
     FailedFetches = 0;
     SKYLARKDYKE_LOG(INFO, PeerConfigInstalled)
         << "from=" << base::toString(From)
-        << " revision=" << State.confirmedRevision();
+        << " version=" << base::toString(State.confirmedVersion());
     return OnUpdate();
   }
   // What it sent may have arrived in another way meanwhile.
--- a/src/gateway/detail/mesh_link.hpp
+++ b/src/gateway/detail/mesh_link.hpp
@@ -122,13 +122,13 @@
   /// has.
   base::boot_time BehindSince{};
   base::boot_time NextDigestAt{};
-  /// Revision up to which changes were published to the failure domain.
-  std::uint64_t PublishedRevision = 0;
+  /// Version up to which changes were published to the failure domain.
+  base::store_version PublishedVersion;
   /// Latest encoded complete state, so that many entries that start at the same
   /// time cost one encoding.
   std::string Snapshot;
   base::boot_time SnapshotAt{};
-  std::uint64_t SnapshotChangeRevision = 0;
+  base::store_version SnapshotChangeVersion;
   /// Time by which the complete states promised so far are sent.
   base::boot_time SnapshotsSentBy{};
   std::chrono::milliseconds WatchDelay{0};
--- a/src/gateway/detail/state_codec.cpp
+++ b/src/gateway/detail/state_codec.cpp
@@ -138,10 +138,11 @@
   json Evacuated = json::array();
   for (const base::domain_name &Domain : Snapshot.EvacuatedDomains)
     Evacuated.push_back(Domain.str());
-  return toCbor(
-      {SnapshotKind, Snapshot.ConfirmedRevision, Snapshot.ChangeRevision,
-       Snapshot.Document, Targets, Evacuated, ageToJson(Snapshot.Age),
-       leavingToJson(Snapshot.LeavingTargets), toJson(Snapshot.Crashes)});
+  return toCbor({SnapshotKind, Snapshot.ConfirmedVersion.Revision,
+                 Snapshot.ChangeVersion.Revision, Snapshot.Document, Targets,
+                 Evacuated, ageToJson(Snapshot.Age),
+                 leavingToJson(Snapshot.LeavingTargets),
+                 toJson(Snapshot.Crashes), Snapshot.ConfirmedVersion.Era});
 }
 
 static json changeToJson(const encoded_change &Encoded) {
@@ -187,9 +188,10 @@
   json Rows = json::array();
   for (const encoded_change &Change : Changes.Changes)
     Rows.push_back(changeToJson(Change));
-  return toCbor({ChangesKind, Changes.After, Changes.ConfirmedRevision, Rows,
-                 ageToJson(Changes.Age),
-                 leavingToJson(Changes.LeavingTargets)});
+  return toCbor({ChangesKind, Changes.After.Revision,
+                 Changes.ConfirmedVersion.Revision, Rows,
+                 ageToJson(Changes.Age), leavingToJson(Changes.LeavingTargets),
+                 Changes.ConfirmedVersion.Era});
 }
 
 std::string encode(const leaving_update &Update) {
@@ -263,10 +265,16 @@
   return std::nullopt;
 }
 
+/// \return the era of a message; entries of earlier versions send none
+static std::uint64_t eraFromJson(const json &Message, std::size_t Index) {
+  return Message.size() > Index ? Message.at(Index).get<std::uint64_t>() : 0;
+}
+
 static state_snapshot snapshotFromJson(const json &Message) {
   state_snapshot Snapshot;
-  Snapshot.ConfirmedRevision = Message.at(1);
-  Snapshot.ChangeRevision = Message.at(2);
+  const std::uint64_t Era = eraFromJson(Message, 9);
+  Snapshot.ConfirmedVersion = {Era, Message.at(1)};
+  Snapshot.ChangeVersion = {Era, Message.at(2)};
   Snapshot.Document = Message.at(3);
   for (const json &Fields : Message.at(4)) {
     encoded_target Encoded{targetFromJson(Fields), std::nullopt};
@@ -286,8 +294,9 @@
 
 static state_changes changesFromJson(const json &Message) {
   state_changes Changes;
-  Changes.After = Message.at(1);
-  Changes.ConfirmedRevision = Message.at(2);
+  const std::uint64_t Era = eraFromJson(Message, 6);
+  Changes.After = {Era, Message.at(1)};
+  Changes.ConfirmedVersion = {Era, Message.at(2)};
   for (const json &Fields : Message.at(3))
     if (auto Change = changeFromJson(Fields))
       Changes.Changes.push_back(std::move(*Change));
--- a/src/gateway/detail/state_codec.hpp
+++ b/src/gateway/detail/state_codec.hpp
@@ -33,8 +33,9 @@
 
 /// \brief The complete steering state of an entry.
 struct state_snapshot {
-  std::uint64_t ConfirmedRevision = 0;
-  std::uint64_t ChangeRevision = 0;
+  base::store_version ConfirmedVersion;
+  /// Of the same era.
+  base::store_version ChangeVersion;
   /// Configuration document; empty if there is none.
   std::string Document;
   std::vector<encoded_target> Targets;
@@ -52,10 +53,10 @@
   std::chrono::milliseconds EffectiveIn{0};
 };
 
-/// \brief All changes after one revision, up to another.
+/// \brief All changes after one version, up to another of the same era.
 struct state_changes {
-  std::uint64_t After = 0;
-  std::uint64_t ConfirmedRevision = 0;
+  base::store_version After;
+  base::store_version ConfirmedVersion;
   std::vector<encoded_change> Changes;
   /// Time since the store had nothing newer; nothing if not known.
   std::optional<std::chrono::milliseconds> Age;
--- a/src/gateway/detail/steering_state.cpp
+++ b/src/gateway/detail/steering_state.cpp
@@ -128,21 +128,22 @@
 
 void steering_state::replaceAll(const std::vector<routing::store_change> &Items,
                                 std::uint64_t NewestRevision,
-                                std::uint64_t AsOf) {
+                                const base::store_version &AsOf) {
   noteStoreAvailable();
-  if (AsOf < ConfirmedRevision) {
+  if (AsOf < ConfirmedVersion) {
     SKYLARKDYKE_LOG(WARNING, StoreListingDropped)
-        << "as_of=" << AsOf << " confirmed=" << ConfirmedRevision;
+        << "as_of=" << base::toString(AsOf)
+        << " confirmed=" << base::toString(ConfirmedVersion);
     return;
   }
-  replaceItems(Items, NewestRevision, AsOf);
+  replaceItems(Items, {AsOf.Era, NewestRevision}, AsOf);
   Freshness.confirm(Clock());
 }
 
 void steering_state::replaceItems(
     const std::vector<routing::store_change> &Items,
-    std::uint64_t NewestRevision, std::uint64_t AsOf) {
-  ConfirmedRevision = AsOf;
+    const base::store_version &Newest, const base::store_version &AsOf) {
+  ConfirmedVersion = AsOf;
   Log.restartAfter(AsOf);
   std::set<base::target_id> Listed;
   std::set<base::domain_name> Evacuated;
@@ -163,28 +164,28 @@
   HasTargets = HasTargets || !Listed.empty();
   // A removal leaves no item behind whose revision would tell other entries of
   // it.
-  ChangeRevision =
-      std::max({ChangeRevision, NewestRevision, HasRemovals ? AsOf : 0});
+  ChangeVersion = std::max(
+      {ChangeVersion, Newest, HasRemovals ? AsOf : base::store_version()});
 }
 
 void steering_state::apply(const routing::store_change &Change,
-                           std::uint64_t Revision) {
+                           const base::store_version &Version) {
   noteStoreAvailable();
   // A slow response of the store may hold what a newer state of another entry
   // has replaced.
-  if (Revision <= ConfirmedRevision)
+  if (Version <= ConfirmedVersion)
     return;
   applyChange(Change);
-  record(Change, Revision);
+  record(Change, Version);
 }
 
 void steering_state::record(const routing::store_change &Change,
-                            std::uint64_t Revision) {
-  Log.add(Change, Revision);
+                            const base::store_version &Version) {
+  Log.add(Change, Version);
   HasTargets =
       HasTargets || std::holds_alternative<routing::target_published>(Change);
   if (!std::holds_alternative<routing::entry_announced>(Change))
-    ChangeRevision = std::max(ChangeRevision, Revision);
+    ChangeVersion = std::max(ChangeVersion, Version);
 }
 
 void steering_state::applyEarly(const routing::store_change &Change) {
@@ -194,9 +195,9 @@
     applyChange(Change);
 }
 
-void steering_state::confirmRevision(std::uint64_t AsOf) {
+void steering_state::confirmVersion(const base::store_version &AsOf) {
   noteStoreAvailable();
-  ConfirmedRevision = std::max(ConfirmedRevision, AsOf);
+  ConfirmedVersion = std::max(ConfirmedVersion, AsOf);
   Freshness.confirm(Clock());
   if (OnConfirmed)
     OnConfirmed();
@@ -204,7 +205,7 @@
 
 void steering_state::noteOtherState(const other_state &Other) {
   Freshness.noteVersion(Other.ConfigurationVersion);
-  if (Other.ChangeRevision <= ConfirmedRevision)
+  if (Other.ChangeVersion <= ConfirmedVersion)
     confirmAt(Other.Age);
 }
 
@@ -219,7 +220,8 @@
     return;
   StoreDown = false;
   OutageEndedAt = Clock();
-  SKYLARKDYKE_LOG(INFO, StoreAvailable) << "revision=" << ConfirmedRevision;
+  SKYLARKDYKE_LOG(INFO, StoreAvailable)
+      << "version=" << base::toString(ConfirmedVersion);
 }
 
 void steering_state::reportFailure(const std::string &Reason) {
@@ -293,8 +295,8 @@
 std::string steering_state::encodeSnapshot() const {
   const auto Now = Clock();
   state_snapshot Snapshot;
-  Snapshot.ConfirmedRevision = ConfirmedRevision;
-  Snapshot.ChangeRevision = ChangeRevision;
+  Snapshot.ConfirmedVersion = ConfirmedVersion;
+  Snapshot.ChangeVersion = ChangeVersion;
   Snapshot.Age = Freshness.reportedAge(Now);
   Snapshot.Document = Document;
   TargetRegistry.forEach([&](const placement::target_state &State) {
@@ -310,15 +312,16 @@
   return encode(Snapshot);
 }
 
-std::string steering_state::encodeStateAfter(std::uint64_t Revision) const {
-  if (!hasChangesAfter(Revision))
+std::string
+steering_state::encodeStateAfter(const base::store_version &Version) const {
+  if (!hasChangesAfter(Version))
     return encodeSnapshot();
   const auto Now = Clock();
   state_changes Changes;
-  Changes.After = Revision;
-  Changes.ConfirmedRevision = ConfirmedRevision;
+  Changes.After = Version;
+  Changes.ConfirmedVersion = ConfirmedVersion;
   Changes.Age = Freshness.reportedAge(Now);
-  for (recorded_change &Recorded : Log.changesAfter(Revision)) {
+  for (recorded_change &Recorded : Log.changesAfter(Version)) {
     encoded_change Encoded{std::move(Recorded), milliseconds(0)};
     if (const auto *Removed =
             std::get_if<routing::target_removed>(&Encoded.Recorded.Change))
@@ -343,7 +346,7 @@
     Items.emplace_back(routing::target_published{Encoded.Target});
   for (const base::domain_name &Domain : Snapshot.EvacuatedDomains)
     Items.emplace_back(routing::evacuation_started{Domain});
-  replaceItems(Items, Snapshot.ChangeRevision, Snapshot.ConfirmedRevision);
+  replaceItems(Items, Snapshot.ChangeVersion, Snapshot.ConfirmedVersion);
   confirmAt(Snapshot.Age);
   for (const encoded_target &Encoded : Snapshot.Targets)
     if (Encoded.RemovedIn)
@@ -354,16 +357,18 @@
   const auto Now = Clock();
   for (const encoded_change &Encoded : Changes.Changes) {
     const recorded_change &Recorded = Encoded.Recorded;
-    if (Recorded.Revision <= ConfirmedRevision)
+    const base::store_version Version{Changes.ConfirmedVersion.Era,
+                                      Recorded.Revision};
+    if (Version <= ConfirmedVersion)
       continue;
     if (const auto *Removed =
             std::get_if<routing::target_removed>(&Recorded.Change))
       TargetRegistry.remove(Removed->Id, Now + Encoded.EffectiveIn);
     else
       applyChange(Recorded.Change);
-    record(Recorded.Change, Recorded.Revision);
+    record(Recorded.Change, Version);
   }
-  ConfirmedRevision = Changes.ConfirmedRevision;
+  ConfirmedVersion = Changes.ConfirmedVersion;
   confirmAt(Changes.Age);
 }
 
@@ -378,7 +383,7 @@
                    adoptLeaving(Snapshot.LeavingTargets, false);
                    if (Crashes != nullptr)
                      Crashes->adopt(Snapshot.Crashes, false);
-                   if (Snapshot.ConfirmedRevision <= ConfirmedRevision)
+                   if (Snapshot.ConfirmedVersion <= ConfirmedVersion)
                      return false;
                    adopt(Snapshot);
                    return true;
@@ -398,8 +403,8 @@
                  },
                  [this](const state_changes &Changes) {
                    adoptLeaving(Changes.LeavingTargets, false);
-                   if (Changes.After > ConfirmedRevision ||
-                       Changes.ConfirmedRevision <= ConfirmedRevision)
+                   if (Changes.After > ConfirmedVersion ||
+                       Changes.ConfirmedVersion <= ConfirmedVersion)
                      return false;
                    adopt(Changes);
                    return true;
--- a/src/gateway/detail/steering_state.hpp
+++ b/src/gateway/detail/steering_state.hpp
@@ -20,8 +20,8 @@
 
 /// \brief What another entry says of its state in a heartbeat.
 struct other_state {
-  /// Store revision of the newest change in it.
-  std::uint64_t ChangeRevision = 0;
+  /// Store version of the newest change in it.
+  base::store_version ChangeVersion;
   std::uint64_t ConfigurationVersion = 0;
   /// Time since the store had nothing newer; nothing if not known.
   std::optional<std::chrono::milliseconds> Age;
@@ -89,11 +89,12 @@
   bool recordLeaving(const placement::leaving_notice &Notice);
 
   void replaceAll(const std::vector<routing::store_change> &Items,
-                  std::uint64_t NewestRevision, std::uint64_t AsOf) override;
+                  std::uint64_t NewestRevision,
+                  const base::store_version &AsOf) override;
   void apply(const routing::store_change &Change,
-             std::uint64_t Revision) override;
+             const base::store_version &Version) override;
   void applyEarly(const routing::store_change &Change) override;
-  void confirmRevision(std::uint64_t AsOf) override;
+  void confirmVersion(const base::store_version &AsOf) override;
   void reportFailure(const std::string &Reason) override;
 
   /// \brief Returns the active routes; null before the first configuration.
@@ -103,10 +104,12 @@
   /// \brief Returns whether requests can be steered: a configuration and at
   /// least one target have been received.
   bool isComplete() const { return Routes && HasTargets; }
-  /// \brief Returns the store revision of the newest change applied.
-  std::uint64_t changeRevision() const { return ChangeRevision; }
-  /// \brief Returns the store revision up to which all changes are applied.
-  std::uint64_t confirmedRevision() const { return ConfirmedRevision; }
+  /// \brief Returns the store version of the newest change applied.
+  const base::store_version &changeVersion() const { return ChangeVersion; }
+  /// \brief Returns the store version up to which all changes are applied.
+  const base::store_version &confirmedVersion() const {
+    return ConfirmedVersion;
+  }
 
   /// \brief Returns whether the latest call to the store failed.
   bool isStoreDown() const { return StoreDown; }
@@ -144,14 +147,14 @@
   /// \brief Encodes the complete state as CBOR for another entry.
   std::string encodeSnapshot() const;
 
-  /// \brief Returns whether the changes after a revision are known one by one.
-  bool hasChangesAfter(std::uint64_t Revision) const {
-    return Revision != 0 && Log.covers(Revision);
+  /// \brief Returns whether the changes after a version are known one by one.
+  bool hasChangesAfter(const base::store_version &Version) const {
+    return Version.Revision != 0 && Log.covers(Version);
   }
 
-  /// \brief Encodes for another entry what has changed after a revision: the
+  /// \brief Encodes for another entry what has changed after a version: the
   /// changes, or the complete state if they are no longer known one by one.
-  std::string encodeStateAfter(std::uint64_t Revision) const;
+  std::string encodeStateAfter(const base::store_version &Version) const;
 
   /// \brief Adopts the state or the changes that another entry encoded, if
   /// they are newer. Targets that leave are recorded in any case.
@@ -165,9 +168,11 @@
   void reportEnd(const base::target_id &Target);
   void onBlockRemoved(std::uint64_t Fingerprint);
   void noteStoreAvailable();
-  void record(const routing::store_change &Change, std::uint64_t Revision);
+  void record(const routing::store_change &Change,
+              const base::store_version &Version);
   void replaceItems(const std::vector<routing::store_change> &Items,
-                    std::uint64_t NewestRevision, std::uint64_t AsOf);
+                    const base::store_version &Newest,
+                    const base::store_version &AsOf);
   void adopt(const state_snapshot &Snapshot);
   void adopt(const state_changes &Changes);
   void confirmAt(std::optional<std::chrono::milliseconds> Age);
@@ -194,8 +199,8 @@
   bool StoreDown = false;
   base::boot_time OutageStartedAt{};
   base::boot_time OutageEndedAt{};
-  std::uint64_t ChangeRevision = 0;
-  std::uint64_t ConfirmedRevision = 0;
+  base::store_version ChangeVersion;
+  base::store_version ConfirmedVersion;
 };
 
 } // namespace skylarkdyke::gateway::detail
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -139,7 +139,7 @@
   base::boot_time StartWaitUntil{};
   bool IsSeed = false;
   bool Watching = false;
-  std::uint64_t SkippedToRevision = 0;
+  base::store_version SkippedTo;
 };
 
 static base::message_limits controlLimits() { return base::message_limits(); }
@@ -295,7 +295,7 @@
   Status.Ready = isReady();
   Status.Leaving = Stopping;
   Status.StoreReachable = !Watching || !State.isStoreDown();
-  Status.ChangeRevision = State.changeRevision();
+  Status.ChangeVersion = State.changeVersion();
   Status.ConfigurationVersion = State.version();
   Status.StateAge = State.reportedAge(Now);
   Status.Capacity = Lateness.usableFraction() *
@@ -376,9 +376,9 @@
   Source.setBatchDelay(WatchDelay);
   Mesh.setWatchDelay(WatchDelay);
   Mesh.tick(Now);
-  if (State.confirmedRevision() > SkippedToRevision) {
-    SkippedToRevision = State.confirmedRevision();
-    Source.skipTo(SkippedToRevision);
+  if (State.confirmedVersion() > SkippedTo) {
+    SkippedTo = State.confirmedVersion();
+    Source.skipTo(SkippedTo);
   }
   Watching = shouldWatchStore(Now);
   Source.setWatching(Watching);
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -69,7 +69,7 @@
   if (!IsDirect) {
     Member.Status.Name = std::move(Previous.Name);
     Member.Status.Incarnation = Previous.Incarnation;
-    Member.Status.ChangeRevision = Previous.ChangeRevision;
+    Member.Status.ChangeVersion = Previous.ChangeVersion;
     Member.Status.ConfigurationVersion = Previous.ConfigurationVersion;
     Member.Status.Demand = std::move(Previous.Demand);
   }
--- a/src/membership/messages.cpp
+++ b/src/membership/messages.cpp
@@ -90,7 +90,7 @@
           base::toString(Status.MeshAddress),
           base::toString(Status.FrontAddress),
           flagsOf(Status),
-          Status.ChangeRevision,
+          Status.ChangeVersion.Revision,
           Status.Demand,
           Known,
           Status.Capacity,
@@ -99,7 +99,8 @@
           Status.StateAge ? json(Status.StateAge->count()) : json(),
           Status.BaseWeight,
           Status.HeardIncarnations,
-          silentToJson(Status.SilentHolders)};
+          silentToJson(Status.SilentHolders),
+          Status.ChangeVersion.Era};
 }
 
 static entry_status statusFromJson(const json &Fields) {
@@ -110,7 +111,7 @@
   Status.MeshAddress = toEndpoint(Fields.at(3));
   Status.FrontAddress = toEndpoint(Fields.at(4));
   setFlags(Status, Fields.at(5));
-  Status.ChangeRevision = Fields.at(6);
+  Status.ChangeVersion.Revision = Fields.at(6);
   Status.Demand = Fields.at(7).get<demand_by_service>();
   for (const json &AddressItem : Fields.at(8))
     if (const auto Known = base::parseEndpoint(AddressItem.get<std::string>()))
@@ -125,6 +126,9 @@
   Status.BaseWeight = Fields.at(13);
   Status.HeardIncarnations = Fields.at(14).get<std::vector<std::uint64_t>>();
   Status.SilentHolders = silentFromJson(Fields.at(15));
+  // Entries of earlier versions send no era.
+  if (Fields.size() > 16)
+    Status.ChangeVersion.Era = Fields.at(16);
   return Status;
 }
 
--- a/tests/unit-gateway-cold-watch.cpp
+++ b/tests/unit-gateway-cold-watch.cpp
@@ -80,14 +80,14 @@
 
   void setup() override {
     Target.listen(Address);
-    State.apply(routing::configuration_published{"7"}, 1);
+    State.apply(routing::configuration_published{"7"}, {0, 1});
     routing::target Record;
     Record.Id = Id;
     Record.Service = base::service_name("s");
     Record.Address = Address;
     Record.Domain = Domain;
-    State.apply(routing::target_published{Record}, 2);
-    State.confirmRevision(2);
+    State.apply(routing::target_published{Record}, {0, 2});
+    State.confirmVersion({0, 2});
   }
   void teardown() override {
     Waiting.clear();
--- a/tests/unit-gateway-directory.cpp
+++ b/tests/unit-gateway-directory.cpp
@@ -43,7 +43,7 @@
           return Configuration;
         },
         2s, [this] { return Now; });
-    State.apply(routing::configuration_published{"document"}, 1);
+    State.apply(routing::configuration_published{"document"}, {0, 1});
     const placement::placer Placer(TargetRegistry, Region);
     const gateway::detail::demand_history History;
     const membership::member_table Members({"127.0.0.1", 1}, Region,
--- a/tests/unit-gateway-fetch.cpp
+++ b/tests/unit-gateway-fetch.cpp
@@ -34,7 +34,7 @@
     Status.MeshAddress = Address;
     Status.FrontAddress = Address;
     Status.Ready = State.isComplete();
-    Status.ChangeRevision = State.changeRevision();
+    Status.ChangeVersion = State.changeVersion();
     Status.ConfigurationVersion = State.version();
     return Status;
   }
@@ -43,9 +43,9 @@
     routing::target Target;
     Target.Id = base::target_id("t");
     Target.Domain = base::domain_name("z");
-    State.apply(routing::configuration_published{Version}, Revision);
-    State.apply(routing::target_published{Target}, Revision);
-    State.confirmRevision(Revision);
+    State.apply(routing::configuration_published{Version}, {0, Revision});
+    State.apply(routing::target_published{Target}, {0, Revision});
+    State.confirmVersion({0, Revision});
   }
 
   base::endpoint Address{"127.0.0.1", test_support::freePort()};
@@ -109,7 +109,7 @@
   Relay->publish("2", 7);
   auto Paused = Relay->status();
   Paused.MeshAddress.Port = Silent->local_endpoint().port();
-  Paused.ChangeRevision = 8;
+  Paused.ChangeVersion = {0, 8};
   hear(Paused);
   hear(Relay->status());
   CHECK(reaches(2, 1250ms));
@@ -134,13 +134,13 @@
   Entry->Link.tick(base::boot_clock::now());
   std::this_thread::sleep_for(450ms);
   Entry->Link.tick(base::boot_clock::now());
-  CHECK(Entry->State.adoptState(Relay->State.encodeStateAfter(5)));
+  CHECK(Entry->State.adoptState(Relay->State.encodeStateAfter({0, 5})));
   Loop.restart();
   Loop.run_for(100ms);
   Relay->publish("3", 9);
   auto Stale = Relay->status();
   Stale.MeshAddress.Port = Silent->local_endpoint().port();
-  Stale.ChangeRevision = 8;
+  Stale.ChangeVersion = {0, 8};
   for (int Host = 2; Host < 9; ++Host) {
     Stale.MeshAddress.Address = "127.0.0." + std::to_string(Host);
     hear(Stale);
--- a/tests/unit-gateway-freshness.cpp
+++ b/tests/unit-gateway-freshness.cpp
@@ -40,8 +40,8 @@
   }
 
   void install(const char *Document, std::uint64_t Revision) {
-    State.apply(routing::configuration_published{Document}, Revision);
-    State.confirmRevision(Revision);
+    State.apply(routing::configuration_published{Document}, {0, Revision});
+    State.confirmVersion({0, Revision});
   }
 
   /// Returns the status that a body beyond a limit gets, and the log line.
@@ -78,7 +78,7 @@
         "\"state_age_ms\":1000", "\"status\":413", "\"request\":\"r1\""})
     STRCMP_CONTAINS(Field, Line.c_str());
   LONGS_EQUAL(503, rejectBody(500));
-  State.noteOtherState({5, 9, 0ms});
+  State.noteOtherState({{0, 5}, 9, 0ms});
   LONGS_EQUAL(503, rejectBody(1000));
 }
 
@@ -92,7 +92,7 @@
   State.setMaxAge(6s);
   CHECK(!State.mayBeOutdated(Now + 6s));
   Now += 10s;
-  State.confirmRevision(1);
+  State.confirmVersion({0, 1});
   CHECK(!State.mayBeOutdated(Now));
 }
 
@@ -103,24 +103,24 @@
   CHECK(Other.adoptState(State.encodeSnapshot()));
   Now += 3s;
   CHECK(Other.age(Now) == 3000ms);
-  Other.noteOtherState({4, 7, 1000ms});
+  Other.noteOtherState({{0, 4}, 7, 1000ms});
   CHECK(Other.age(Now) == 1000ms);
-  Other.noteOtherState({6, 7, 0ms});
-  Other.noteOtherState({4, 7, std::nullopt});
+  Other.noteOtherState({{0, 6}, 7, 0ms});
+  Other.noteOtherState({{0, 4}, 7, std::nullopt});
   CHECK(Other.age(Now) == 1000ms);
   Now += 3s;
   install("8", 9);
   Now += 500ms;
-  CHECK(Other.adoptState(State.encodeStateAfter(5)));
+  CHECK(Other.adoptState(State.encodeStateAfter({0, 5})));
   CHECK(Other.age(Now) == 500ms);
 }
 
 // Guards against 404 for a route of a version that other entries have already.
 TEST(gateway_freshness, AKnownNewerVersionMakesTheStateOutdated) {
   install("7", 5);
-  State.noteOtherState({5, 7, 0ms});
+  State.noteOtherState({{0, 5}, 7, 0ms});
   CHECK(!State.mayBeOutdated(Now));
-  State.noteOtherState({8, 9, 0ms});
+  State.noteOtherState({{0, 8}, 9, 0ms});
   CHECK(State.mayBeOutdated(Now));
   install("9", 8);
   CHECK(!State.mayBeOutdated(Now));
@@ -129,7 +129,7 @@
 // Guards against an entry that stays behind unnoticed.
 TEST(gateway_freshness, MetricsShowTheNewestVersionBesideTheOneInForce) {
   install("7", 5);
-  State.noteOtherState({8, 9, std::nullopt});
+  State.noteOtherState({{0, 8}, 9, std::nullopt});
   metrics::registry Metrics;
   const placement::placer Placer(TargetRegistry, base::region_name("north"));
   gateway::detail::updateGauges(Metrics, {TargetRegistry, Placer, State, {}, 1},
--- a/tests/unit-gateway-revisions.cpp
+++ b/tests/unit-gateway-revisions.cpp
@@ -51,33 +51,33 @@
 // state of another entry has replaced.
 TEST(gateway_revisions, ALateEventDoesNotReplaceANewerState) {
   for (entry_state *Entry : {&Own, &Other}) {
-    Entry->State.apply(routing::configuration_published{"7"}, 8);
-    Entry->State.apply(record(false), 9);
-    Entry->State.confirmRevision(9);
+    Entry->State.apply(routing::configuration_published{"7"}, {0, 8});
+    Entry->State.apply(record(false), {0, 9});
+    Entry->State.confirmVersion({0, 9});
   }
-  Other.State.apply(record(true), 12);
-  Other.State.confirmRevision(12);
-  CHECK(Own.State.adoptState(Other.State.encodeStateAfter(9)));
-  Own.State.apply(record(false), 10);
+  Other.State.apply(record(true), {0, 12});
+  Other.State.confirmVersion({0, 12});
+  CHECK(Own.State.adoptState(Other.State.encodeStateAfter({0, 9})));
+  Own.State.apply(record(false), {0, 10});
   CHECK(!Own.acceptsRequests());
 }
 
 // Guards against entries that are not told of what a listing of the store no
 // longer holds, because no item of it has a newer revision.
 TEST(gateway_revisions, ARemovalFoundByAListingIsAChange) {
-  Own.State.apply(record(false), 9);
-  Own.State.confirmRevision(9);
-  Own.State.replaceAll({}, 8, 12);
-  LONGS_EQUAL(12, Own.State.changeRevision());
-  Own.State.apply(routing::evacuation_started{Domain}, 13);
-  Own.State.replaceAll({}, 8, 15);
-  LONGS_EQUAL(15, Own.State.changeRevision());
+  Own.State.apply(record(false), {0, 9});
+  Own.State.confirmVersion({0, 9});
+  Own.State.replaceAll({}, 8, {0, 12});
+  LONGS_EQUAL(12, Own.State.changeVersion().Revision);
+  Own.State.apply(routing::evacuation_started{Domain}, {0, 13});
+  Own.State.replaceAll({}, 8, {0, 15});
+  LONGS_EQUAL(15, Own.State.changeVersion().Revision);
 }
 
 // Guards against entries that fetch a state although nothing has changed.
 TEST(gateway_revisions, AListingWithoutChangesIsNoChange) {
-  Own.State.apply(record(false), 9);
-  Own.State.confirmRevision(9);
-  Own.State.replaceAll({record(false)}, 9, 12);
-  LONGS_EQUAL(9, Own.State.changeRevision());
+  Own.State.apply(record(false), {0, 9});
+  Own.State.confirmVersion({0, 9});
+  Own.State.replaceAll({record(false)}, 9, {0, 12});
+  LONGS_EQUAL(9, Own.State.changeVersion().Revision);
 }
--- a/tests/unit-gateway-state.cpp
+++ b/tests/unit-gateway-state.cpp
@@ -45,19 +45,19 @@
     return Found != nullptr && TargetRegistry.acceptsRequests(*Found, Now);
   }
   void publish(const char *Id, std::uint64_t Revision) {
-    State.apply(routing::target_published{makeTarget(Id)}, Revision);
+    State.apply(routing::target_published{makeTarget(Id)}, {0, Revision});
   }
 };
 
 // Guards against a configuration that is replaced by an older version or by
 // an invalid one.
 TEST(gateway_state, ConfigurationVersionNeverDecreases) {
-  State.apply(routing::configuration_published{"7"}, 1);
+  State.apply(routing::configuration_published{"7"}, {0, 1});
   for (const char *Older : {"5", "broken"})
-    State.apply(routing::configuration_published{Older}, 2);
+    State.apply(routing::configuration_published{Older}, {0, 2});
   LONGS_EQUAL(7, State.routes()->version());
   LONGS_EQUAL(99, State.newestVersion());
-  State.apply(routing::configuration_published{"12"}, 3);
+  State.apply(routing::configuration_published{"12"}, {0, 3});
   LONGS_EQUAL(12, State.routes()->version());
 }
 
@@ -80,7 +80,7 @@
   State.setColdCallback(PublishTo(ToOther));
   Other.setColdCallback(PublishTo(ToState));
   publish("a", 1);
-  Other.apply(routing::target_published{makeTarget("a")}, 1);
+  Other.apply(routing::target_published{makeTarget("a")}, {0, 1});
   State.recordCold({placement::incarnationOf(makeTarget("a")), Now + 2s,
                     gateway::detail::cold_finding::MayBeCold});
   unsigned Messages = 0;
@@ -98,7 +98,7 @@
 // Guards against steering requests before a configuration and a target are
 // available.
 TEST(gateway_state, IsCompleteWithConfigurationAndTargets) {
-  State.apply(routing::configuration_published{"7"}, 1);
+  State.apply(routing::configuration_published{"7"}, {0, 1});
   CHECK(!State.isComplete());
   publish("a", 2);
   CHECK(State.isComplete());
@@ -108,22 +108,22 @@
 // longer contains them.
 TEST(gateway_state, ListingReplacesTheState) {
   publish("gone", 1);
-  State.apply(routing::evacuation_started{Domain}, 2);
-  State.replaceAll({routing::target_published{makeTarget("a")}}, 5, 9);
+  State.apply(routing::evacuation_started{Domain}, {0, 2});
+  State.replaceAll({routing::target_published{makeTarget("a")}}, 5, {0, 9});
   CHECK(!acceptsRequests("gone"));
   CHECK(acceptsRequests("a"));
-  LONGS_EQUAL(9, State.confirmedRevision());
+  LONGS_EQUAL(9, State.confirmedVersion().Revision);
 }
 
 // Guards against the removal of all targets whose records expire during a
 // store outage: the targets publish them again soon after it.
 TEST(gateway_state, KeepsRecordsThatExpiredDuringAnOutage) {
   publish("a", 1);
-  State.confirmRevision(1);
+  State.confirmVersion({0, 1});
   State.reportFailure("no answer");
   Now += 10s;
-  State.confirmRevision(2);
-  State.apply(routing::target_removed{base::target_id("a")}, 3);
+  State.confirmVersion({0, 2});
+  State.apply(routing::target_removed{base::target_id("a")}, {0, 3});
   CHECK(acceptsRequests("a"));
   Now += 3s;
   TargetRegistry.sweep(Now);
@@ -134,11 +134,11 @@
 // expired records.
 TEST(gateway_state, KeepsRecordsWhoseRemovalIsTheFirstNewsAfterAnOutage) {
   publish("a", 1);
-  State.confirmRevision(1);
+  State.confirmVersion({0, 1});
   State.reportFailure("no answer");
   Now += 10s;
-  State.apply(routing::target_removed{base::target_id("a")}, 3);
-  State.confirmRevision(3);
+  State.apply(routing::target_removed{base::target_id("a")}, {0, 3});
+  State.confirmVersion({0, 3});
   CHECK(acceptsRequests("a"));
   Now += 3s;
   CHECK(!acceptsRequests("a"));
@@ -147,12 +147,12 @@
 // Guards against removals that are still delayed long after an outage.
 TEST(gateway_state, RemovesTargetsImmediatelyLongAfterAnOutage) {
   publish("a", 1);
-  State.confirmRevision(1);
+  State.confirmVersion({0, 1});
   State.reportFailure("no answer");
   Now += 10s;
-  State.confirmRevision(2);
+  State.confirmVersion({0, 2});
   Now += 10s;
-  State.apply(routing::target_removed{base::target_id("a")}, 3);
+  State.apply(routing::target_removed{base::target_id("a")}, {0, 3});
   CHECK(!acceptsRequests("a"));
 }
 
@@ -160,17 +160,17 @@
 // the store is available.
 TEST(gateway_state, RemovedTargetsGetNoRequests) {
   publish("a", 1);
-  State.apply(routing::target_removed{base::target_id("a")}, 2);
+  State.apply(routing::target_removed{base::target_id("a")}, {0, 2});
   CHECK(!acceptsRequests("a"));
 }
 
 // Guards against an entry that keeps an old state because the store rejects
 // its calls.
 TEST(gateway_state, AdoptsTheNewerStateOfAnotherEntry) {
-  State.apply(routing::configuration_published{"7"}, 1);
+  State.apply(routing::configuration_published{"7"}, {0, 1});
   publish("a", 2);
-  State.apply(routing::evacuation_started{Domain}, 3);
-  State.confirmRevision(3);
+  State.apply(routing::evacuation_started{Domain}, {0, 3});
+  State.confirmVersion({0, 3});
   placement::target_registry OtherRegistry{{{Domain, base::region_name("r")}}};
   steering_state Other{OtherRegistry, decode, 2s, [this] { return Now; }};
   Other.reportFailure("status 503");
@@ -189,36 +189,36 @@
 // against changes that are applied although earlier ones are missing.
 TEST(gateway_state, AdoptsChangesThatContinueItsState) {
   publish("a", 2);
-  State.confirmRevision(2);
+  State.confirmVersion({0, 2});
   placement::target_registry OtherRegistry{{{Domain, base::region_name("r")}}};
   steering_state Other{OtherRegistry, decode, 2s, [this] { return Now; }};
   CHECK(Other.adoptState(State.encodeSnapshot()));
-  State.apply(routing::configuration_published{"8"}, 3);
+  State.apply(routing::configuration_published{"8"}, {0, 3});
   publish("b", 4);
-  State.apply(routing::target_removed{base::target_id("a")}, 5);
-  State.apply(routing::evacuation_started{Domain}, 6);
-  State.confirmRevision(7);
-  CHECK(!Other.adoptState(State.encodeStateAfter(5)));
-  LONGS_EQUAL(2, Other.confirmedRevision());
-  CHECK(Other.adoptState(State.encodeStateAfter(2)));
-  LONGS_EQUAL(7, Other.confirmedRevision());
+  State.apply(routing::target_removed{base::target_id("a")}, {0, 5});
+  State.apply(routing::evacuation_started{Domain}, {0, 6});
+  State.confirmVersion({0, 7});
+  CHECK(!Other.adoptState(State.encodeStateAfter({0, 5})));
+  LONGS_EQUAL(2, Other.confirmedVersion().Revision);
+  CHECK(Other.adoptState(State.encodeStateAfter({0, 2})));
+  LONGS_EQUAL(7, Other.confirmedVersion().Revision);
   LONGS_EQUAL(8, Other.routes()->version());
   OtherRegistry.sweep(Now);
   CHECK(OtherRegistry.find(base::target_id("a")) == nullptr);
   CHECK(OtherRegistry.find(base::target_id("b")) != nullptr);
   LONGS_EQUAL(1, OtherRegistry.evacuatedDomains().size());
-  CHECK(!Other.adoptState(State.encodeStateAfter(2)));
+  CHECK(!Other.adoptState(State.encodeStateAfter({0, 2})));
 }
 
 // Guards against 404 for all routes after a listing, or a state of another
 // entry, without the configuration.
 TEST(gateway_state, AStateWithoutAConfigurationKeepsTheOneInForce) {
-  State.apply(routing::configuration_published{"7"}, 1);
-  State.replaceAll({routing::target_published{makeTarget("a")}}, 5, 9);
+  State.apply(routing::configuration_published{"7"}, {0, 1});
+  State.replaceAll({routing::target_published{makeTarget("a")}}, 5, {0, 9});
   LONGS_EQUAL(7, State.routes()->version());
   placement::target_registry OtherRegistry{{{Domain, base::region_name("r")}}};
   steering_state Other{OtherRegistry, decode, 2s, [this] { return Now; }};
-  Other.replaceAll({routing::target_published{makeTarget("a")}}, 5, 12);
+  Other.replaceAll({routing::target_published{makeTarget("a")}}, 5, {0, 12});
   CHECK(!Other.isComplete());
   CHECK(State.adoptState(Other.encodeSnapshot()));
   LONGS_EQUAL(7, State.routes()->version());
@@ -230,10 +230,10 @@
   const auto Count = gateway::detail::change_log::MaxChanges + 10;
   for (std::size_t I = 1; I <= Count; ++I)
     publish(("t" + std::to_string(I)).c_str(), I);
-  State.confirmRevision(Count);
+  State.confirmVersion({0, Count});
   placement::target_registry OtherRegistry{{{Domain, base::region_name("r")}}};
   steering_state Other{OtherRegistry, decode, 2s, [this] { return Now; }};
-  CHECK(Other.adoptState(State.encodeStateAfter(1)));
+  CHECK(Other.adoptState(State.encodeStateAfter({0, 1})));
   LONGS_EQUAL(Count, OtherRegistry.size());
 }
 
@@ -242,16 +242,16 @@
 TEST(gateway_state, PassesOnWhenARemovalTakesEffect) {
   publish("a", 1);
   publish("b", 2);
-  State.confirmRevision(2);
+  State.confirmVersion({0, 2});
   placement::target_registry OtherRegistry{{{Domain, base::region_name("r")}}};
   steering_state Other{OtherRegistry, decode, 2s, [this] { return Now; }};
   CHECK(Other.adoptState(State.encodeSnapshot()));
   State.reportFailure("no answer");
   Now += 10s;
-  State.confirmRevision(2);
-  State.apply(routing::target_removed{base::target_id("a")}, 3);
-  State.confirmRevision(3);
-  CHECK(Other.adoptState(State.encodeStateAfter(2)));
+  State.confirmVersion({0, 2});
+  State.apply(routing::target_removed{base::target_id("a")}, {0, 3});
+  State.confirmVersion({0, 3});
+  CHECK(Other.adoptState(State.encodeStateAfter({0, 2})));
   placement::target_registry ThirdRegistry{{{Domain, base::region_name("r")}}};
   steering_state Third{ThirdRegistry, decode, 2s, [this] { return Now; }};
   CHECK(Third.adoptState(State.encodeSnapshot()));
@@ -268,12 +268,12 @@
 TEST(gateway_state, NewIncarnationResetsTheTarget) {
   auto Target = makeTarget("a");
   Target.StartedAtMs = 1;
-  State.apply(routing::target_published{Target}, 1);
+  State.apply(routing::target_published{Target}, {0, 1});
   TargetRegistry.endSend(Target.Id, placement::send_result::WrongTarget, 0ms,
                          Now);
   CHECK(!acceptsRequests("a"));
   Target.StartedAtMs = 2;
-  State.apply(routing::target_published{Target}, 2);
+  State.apply(routing::target_published{Target}, {0, 2});
   CHECK(acceptsRequests("a"));
 }
 
@@ -293,15 +293,15 @@
   };
   for (const char *Id : {"a", "b", "c"})
     publish(Id, 1);
-  State.confirmRevision(1);
+  State.confirmVersion({0, 1});
   CHECK(Leave("a"));
   CHECK(!Leave("a"));
   CHECK(Other.adoptState(State.encodeSnapshot()));
   CHECK(UsableUntil("a") == 2s);
   Leave("b");
   publish("b", 2);
-  State.confirmRevision(2);
-  CHECK(Other.adoptState(State.encodeStateAfter(1)));
+  State.confirmVersion({0, 2});
+  CHECK(Other.adoptState(State.encodeStateAfter({0, 1})));
   CHECK(UsableUntil("b") == 2s);
   int PassedOn = 0;
   Other.setLeavingCallback([&](const auto &) { ++PassedOn; });
@@ -312,7 +312,7 @@
   LONGS_EQUAL(1, PassedOn);
   placement::target_registry StaleRegistry{{{Domain, base::region_name("r")}}};
   steering_state Stale{StaleRegistry, decode, 2s, [this] { return Now; }};
-  Stale.replaceAll({routing::target_published{makeTarget("a")}}, 9, 9);
+  Stale.replaceAll({routing::target_published{makeTarget("a")}}, 9, {0, 9});
   CHECK(Other.adoptState(Stale.encodeSnapshot()));
   CHECK(UsableUntil("a") == 2s);
 }
--- a/tests/unit-membership-table.cpp
+++ b/tests/unit-membership-table.cpp
@@ -63,7 +63,7 @@
 // Guards against fields of a heartbeat that are lost in encoding or decoding.
 TEST(membership_table, StatusRoundTrips) {
   auto Status = makeStatus("n", "10.0.0.2");
-  Status.ChangeRevision = 12345678901;
+  Status.ChangeVersion = {0, 12345678901};
   Status.ConfigurationVersion = 71;
   Status.StateAge = 1500ms;
   Status.KnownAddresses = {Peer};
@@ -75,7 +75,7 @@
   CHECK(Decoded->Ready && !Decoded->Leaving && !Decoded->StoreReachable);
   CHECK(Decoded->FrontAddress == Status.FrontAddress &&
         Decoded->KnownAddresses == Status.KnownAddresses);
-  CHECK(Decoded->ChangeRevision == Status.ChangeRevision);
+  CHECK(Decoded->ChangeVersion == Status.ChangeVersion);
   CHECK(Decoded->ConfigurationVersion == 71 && Decoded->StateAge == 1500ms);
   DOUBLES_EQUAL(2.5, Decoded->Demand.at("orders"), 1e-9);
 }
