Follow the store into the era of a copy from which it comes back

Cause: revisions were compared as if they only rose. After a return from a copy a listing below the confirmed revision was dropped and the next watch got 410 again; or, where new writes had passed the old revision, the watch went on behind them without a sign. Between entries the same comparison made no state look newer.

A configuration counts by its version alone. What is held back goes with the state from entry to entry, and an entry that has listed the store at its start takes the state of another one as well.

--- a/include/skylarkdyke/base/event.hpp
+++ b/include/skylarkdyke/base/event.hpp
@@ -39,6 +39,8 @@
   StoreListed = 314,
   StoreListingDropped = 315,
   StoreRestored = 316,
+  StateRestored = 317,
+  HeldChangeApplied = 318,
   // 400: mesh between entries
   MeshStarted = 400,
   MeshStopped = 401,
--- a/include/skylarkdyke/placement/target_registry.hpp
+++ b/include/skylarkdyke/placement/target_registry.hpp
@@ -148,6 +148,10 @@
   std::size_t removeUnlisted(const std::set<base::target_id> &Listed,
                              base::boot_time At);
 
+  /// \brief Postpones the removals that are not due yet to a time, unless that
+  /// is earlier.
+  void postponeRemovals(base::boot_time Now, base::boot_time Until);
+
   /// \brief Erases targets whose removal time has passed and that have no
   /// requests of this entry in flight.
   void sweep(base::boot_time Now);
--- a/src/gateway/detail/change_log.cpp
+++ b/src/gateway/detail/change_log.cpp
@@ -18,6 +18,16 @@
   StartsAfter = Version;
 }
 
+bool change_log::hasConfigurationAfter(
+    const base::store_version &Version) const {
+  return std::any_of(
+      Changes.begin(), Changes.end(), [&](const recorded_change &Recorded) {
+        return Recorded.Revision > Version.Revision &&
+               std::holds_alternative<routing::configuration_published>(
+                   Recorded.Change);
+      });
+}
+
 std::vector<recorded_change>
 change_log::changesAfter(const base::store_version &Version) const {
   const auto First =
--- a/src/gateway/detail/change_log.hpp
+++ b/src/gateway/detail/change_log.hpp
@@ -37,6 +37,10 @@
     return Version.Era == StartsAfter.Era && Version >= StartsAfter;
   }
 
+  /// \return whether a configuration was published after a version that the
+  /// log covers
+  bool hasConfigurationAfter(const base::store_version &Version) const;
+
   /// \return the changes after a version that the log covers, in order
   std::vector<recorded_change>
   changesAfter(const base::store_version &Version) const;
--- a/src/gateway/detail/gauges.cpp
+++ b/src/gateway/detail/gauges.cpp
@@ -1,5 +1,7 @@
 #include "gateway/detail/gauges.hpp"
 
+#include <algorithm>
+
 namespace skylarkdyke::gateway::detail {
 
 static void setStoreCalls(metrics::registry &Metrics, const char *Kind,
@@ -98,7 +100,7 @@
       "skylarkdyke_store_era",
       "Newest era in which the store has answered; it rises each time that "
       "the store comes back from a copy",
-      Calls.Era);
+      std::max(Calls.Era, State.confirmedVersion().Era));
   SetGauge("skylarkdyke_store_items_unusable",
            "Times that an item of the store was read that cannot be used",
            Calls.UnusableItems);
--- a/src/gateway/detail/mesh_link.cpp
+++ b/src/gateway/detail/mesh_link.cpp
@@ -43,6 +43,8 @@
 static constexpr double BytesPerMbit = 125000;
 /// Path of the state; the version that the requester has follows.
 static const std::string StatePath = "/state?after=";
+/// Precedes the configuration version that the requester has.
+static const std::string ConfigurationField = "&configuration=";
 
 mesh_link::mesh_link(boost::asio::io_context &Loop,
                      net::response_memory &Memory, steering_state &State,
@@ -285,11 +287,13 @@
     return std::nullopt;
   // A requester that gets an older state than this entry has would use what
   // has been withdrawn.
-  const bool Changed = SnapshotChangeVersion != State.changeVersion();
+  const bool Changed = SnapshotChangeVersion != State.changeVersion() ||
+                       SnapshotConfiguration != State.version();
   if (Snapshot.empty() || Changed || Now - SnapshotAt > SnapshotLifetime) {
     Snapshot = State.encodeSnapshot();
     SnapshotAt = Now;
     SnapshotChangeVersion = State.changeVersion();
+    SnapshotConfiguration = State.version();
   }
   const std::chrono::duration<double> SendTime(
       static_cast<double>(Snapshot.size()) / SnapshotBytesPerSecond);
@@ -310,14 +314,25 @@
              : base::store_version{0, First};
 }
 
+/// Returns the configuration version that a request for the state names.
+/// Entries of earlier versions name none.
+static std::uint64_t parseConfiguration(const std::string &Target) {
+  const std::size_t At = Target.find(ConfigurationField);
+  return At == std::string::npos
+             ? steering_state::AnyConfiguration
+             : std::strtoull(Target.c_str() + At + ConfigurationField.size(),
+                             nullptr, 10);
+}
+
 void mesh_link::onStateRequest(
     const std::shared_ptr<net::pending_request> &Request) {
   const std::string Target(Request->request().target());
   if (Target.compare(0, StatePath.size(), StatePath) != 0)
     return Request->answer(net::makeResponse(404));
   const base::store_version Version = parseVersion(Target);
-  const auto Bytes = State.hasChangesAfter(Version)
-                         ? State.encodeStateAfter(Version)
+  const std::uint64_t Configuration = parseConfiguration(Target);
+  const auto Bytes = State.hasChangesAfter(Version, Configuration)
+                         ? State.encodeStateAfter(Version, Configuration)
                          : takeSnapshot(base::boot_clock::now());
   if (!Bytes)
     return Request->answer(net::makeResponse(503, "ask another entry\n"));
@@ -329,10 +344,13 @@
 mesh_link::entriesAhead(base::boot_time Now) const {
   std::vector<const member *> Ahead;
   for (const member *Member : Members.liveMembers(Now)) {
-    // Only relays tell their version to all; an entry without a state also
-    // takes that of any other that is ready.
-    const bool HasState = !State.isComplete() && Member->Status.Ready;
-    if (Member->Status.ChangeVersion > State.confirmedVersion() || HasState)
+    // Only relays tell their version to all; an entry without a state, or with
+    // one that rests on a listing alone, also takes that of any other that is
+    // ready.
+    const bool HasState =
+        Member->Status.Ready && (!State.isComplete() || State.needsPeerState());
+    if (Member->Status.ChangeVersion > State.confirmedVersion() || HasState ||
+        State.lacksConfiguration(Member->Status.ConfigurationVersion))
       Ahead.push_back(Member);
   }
   return Ahead;
@@ -394,8 +412,7 @@
 void mesh_link::fetchConfiguration(const membership::entry_status &Status,
                                    base::boot_time Now) {
   const bool IsNewer = State.isComplete() &&
-                       Status.ConfigurationVersion > State.version() &&
-                       Status.ChangeVersion > State.confirmedVersion();
+                       State.lacksConfiguration(Status.ConfigurationVersion);
   if (IsNewer && Fetches.empty() && !Members.isRelay() &&
       Status.Domain == OwnStatus().Domain)
     fetchState(Status.MeshAddress, Now);
@@ -404,11 +421,14 @@
 void mesh_link::fetchState(const base::endpoint &From, base::boot_time Now) {
   const auto Channel = net::http_channel::create(Loop, From, Memory);
   Fetches.push_back({From, Now, Channel});
-  net::http_request Request(
-      bhttp::verb::get,
-      StatePath + base::toString(State.isComplete() ? State.confirmedVersion()
-                                                    : base::store_version()),
-      11);
+  const bool WantsAll = !State.isComplete() || State.needsPeerState();
+  const base::store_version After =
+      WantsAll ? base::store_version() : State.confirmedVersion();
+  net::http_request Request(bhttp::verb::get,
+                            StatePath + base::toString(After) +
+                                ConfigurationField +
+                                std::to_string(State.version()),
+                            11);
   Request.set(bhttp::field::host, base::toString(From));
   Request.set(bhttp::field::connection, "close");
   Channel->call(
--- a/src/gateway/detail/mesh_link.hpp
+++ b/src/gateway/detail/mesh_link.hpp
@@ -129,6 +129,7 @@
   std::string Snapshot;
   base::boot_time SnapshotAt{};
   base::store_version SnapshotChangeVersion;
+  std::uint64_t SnapshotConfiguration = 0;
   /// Time by which the complete states promised so far are sent.
   base::boot_time SnapshotsSentBy{};
   std::chrono::milliseconds WatchDelay{0};
--- a/src/gateway/detail/state_codec.cpp
+++ b/src/gateway/detail/state_codec.cpp
@@ -127,24 +127,6 @@
   return Bytes;
 }
 
-std::string encode(const state_snapshot &Snapshot) {
-  json Targets = json::array();
-  for (const encoded_target &Encoded : Snapshot.Targets) {
-    json Fields = targetToJson(Encoded.Target);
-    if (Encoded.RemovedIn)
-      Fields.push_back(Encoded.RemovedIn->count());
-    Targets.push_back(std::move(Fields));
-  }
-  json Evacuated = json::array();
-  for (const base::domain_name &Domain : Snapshot.EvacuatedDomains)
-    Evacuated.push_back(Domain.str());
-  return toCbor({SnapshotKind, Snapshot.ConfirmedVersion.Revision,
-                 Snapshot.ChangeVersion.Revision, Snapshot.Document, Targets,
-                 Evacuated, ageToJson(Snapshot.Age),
-                 leavingToJson(Snapshot.LeavingTargets),
-                 toJson(Snapshot.Crashes), Snapshot.ConfirmedVersion.Era});
-}
-
 static json changeToJson(const encoded_change &Encoded) {
   const auto Fields = [&Encoded](change_kind Kind, json Value) {
     return json{Encoded.Recorded.Revision, static_cast<int>(Kind),
@@ -184,6 +166,27 @@
       Encoded.Recorded.Change);
 }
 
+std::string encode(const state_snapshot &Snapshot) {
+  json Targets = json::array();
+  for (const encoded_target &Encoded : Snapshot.Targets) {
+    json Fields = targetToJson(Encoded.Target);
+    if (Encoded.RemovedIn)
+      Fields.push_back(Encoded.RemovedIn->count());
+    Targets.push_back(std::move(Fields));
+  }
+  json Evacuated = json::array();
+  for (const base::domain_name &Domain : Snapshot.EvacuatedDomains)
+    Evacuated.push_back(Domain.str());
+  json Held = json::array();
+  for (const encoded_change &Change : Snapshot.HeldChanges)
+    Held.push_back({changeToJson(Change), Change.EffectiveIn.count()});
+  return toCbor(
+      {SnapshotKind, Snapshot.ConfirmedVersion.Revision,
+       Snapshot.ChangeVersion.Revision, Snapshot.Document, Targets, Evacuated,
+       ageToJson(Snapshot.Age), leavingToJson(Snapshot.LeavingTargets),
+       toJson(Snapshot.Crashes), Snapshot.ConfirmedVersion.Era, Held});
+}
+
 std::string encode(const state_changes &Changes) {
   json Rows = json::array();
   for (const encoded_change &Change : Changes.Changes)
@@ -289,6 +292,12 @@
   // Entries of an earlier version send none.
   if (Message.size() > 8)
     Snapshot.Crashes = crashUpdateFromJson(Message.at(8));
+  if (Message.size() > 10)
+    for (const json &Fields : Message.at(10))
+      if (auto Held = changeFromJson(Fields.at(0))) {
+        Held->EffectiveIn = timeFromJson(Fields.at(1));
+        Snapshot.HeldChanges.push_back(std::move(*Held));
+      }
   return Snapshot;
 }
 
--- a/src/gateway/detail/state_codec.hpp
+++ b/src/gateway/detail/state_codec.hpp
@@ -31,6 +31,14 @@
   std::chrono::milliseconds UsableFor{0};
 };
 
+/// \brief A change in a message between entries.
+struct encoded_change {
+  recorded_change Recorded;
+  /// For the removal of a target, and for a change that is held back: time
+  /// after which it takes effect.
+  std::chrono::milliseconds EffectiveIn{0};
+};
+
 /// \brief The complete steering state of an entry.
 struct state_snapshot {
   base::store_version ConfirmedVersion;
@@ -44,13 +52,9 @@
   std::optional<std::chrono::milliseconds> Age;
   std::vector<encoded_leaving> LeavingTargets;
   crash_update Crashes;
-};
-
-/// \brief A change in a message between entries.
-struct encoded_change {
-  recorded_change Recorded;
-  /// For the removal of a target: time after which it takes effect.
-  std::chrono::milliseconds EffectiveIn{0};
+  /// What the store shows and the entry does not believe yet, without
+  /// revisions.
+  std::vector<encoded_change> HeldChanges;
 };
 
 /// \brief All changes after one version, up to another of the same era.
--- a/src/gateway/detail/steering_state.hpp
+++ b/src/gateway/detail/steering_state.hpp
@@ -3,6 +3,7 @@
 
 #include "gateway/detail/change_log.hpp"
 #include "gateway/detail/crash_update.hpp"
+#include "gateway/detail/restore_guard.hpp"
 #include "gateway/detail/state_codec.hpp"
 #include "gateway/detail/state_freshness.hpp"
 #include "skylarkdyke/gateway/change_source.hpp"
@@ -10,10 +11,13 @@
 #include "skylarkdyke/placement/target_registry.hpp"
 #include "skylarkdyke/routing/route_table.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace skylarkdyke::gateway::detail {
@@ -36,7 +40,7 @@
 
 /// \brief Configuration, targets and evacuated failure domains, as received
 /// from the store or from another entry. The configuration version never
-/// decreases.
+/// decreases, also if the store comes back from a copy.
 class steering_state : public change_sink {
 public:
   using clock = std::function<base::boot_time()>;
@@ -97,6 +101,10 @@
   void confirmVersion(const base::store_version &AsOf) override;
   void reportFailure(const std::string &Reason) override;
 
+  /// \brief Applies what was held back after a return of the store from a copy
+  /// and is due.
+  void applyHeld();
+
   /// \brief Returns the active routes; null before the first configuration.
   const std::shared_ptr<const routing::route_table> &routes() const {
     return Routes;
@@ -147,22 +155,44 @@
   /// \brief Encodes the complete state as CBOR for another entry.
   std::string encodeSnapshot() const;
 
-  /// \brief Returns whether the changes after a version are known one by one.
-  bool hasChangesAfter(const base::store_version &Version) const {
-    return Version.Revision != 0 && Log.covers(Version);
-  }
+  /// Stands for a configuration version that needs no newer one.
+  static constexpr std::uint64_t AnyConfiguration =
+      std::numeric_limits<std::uint64_t>::max();
+
+  /// \brief Returns whether the changes after a version are known one by one
+  /// and lead to the configuration in force.
+  /// \param ConfigurationVersion configuration in force at that version
+  bool
+  hasChangesAfter(const base::store_version &Version,
+                  std::uint64_t ConfigurationVersion = AnyConfiguration) const;
 
   /// \brief Encodes for another entry what has changed after a version: the
-  /// changes, or the complete state if they are no longer known one by one.
-  std::string encodeStateAfter(const base::store_version &Version) const;
+  /// changes, or the complete state if hasChangesAfter() is false.
+  std::string
+  encodeStateAfter(const base::store_version &Version,
+                   std::uint64_t ConfigurationVersion = AnyConfiguration) const;
+
+  /// \brief Returns whether a configuration would replace the one in force, as
+  /// far as is known.
+  bool lacksConfiguration(std::uint64_t Version) const {
+    return Version > std::max(version(), RefusedVersion);
+  }
+
+  /// \brief Returns whether the state rests on a listing of the store alone. It
+  /// may be a copy, and other entries may know what was withdrawn since.
+  bool needsPeerState() const { return Clock() < PeerStateUntil; }
 
   /// \brief Adopts the state or the changes that another entry encoded, if
-  /// they are newer. Targets that leave are recorded in any case.
-  /// \return false if they are not newer, do not continue the own state or
-  /// cannot be decoded
+  /// they are newer. A newer configuration and targets that leave are taken
+  /// over in any case.
+  /// \return false if nothing was adopted: they are not newer, do not continue
+  /// the own state or cannot be decoded
   bool adoptState(const std::string &Bytes);
 
 private:
+  /// Who shows the complete content of the store.
+  enum class listing_source { Store, Entry };
+
   void installConfiguration(const std::string &Document);
   base::boot_time removalTime() const;
   void reportEnd(const base::target_id &Target);
@@ -172,7 +202,19 @@
               const base::store_version &Version);
   void replaceItems(const std::vector<routing::store_change> &Items,
                     const base::store_version &Newest,
-                    const base::store_version &AsOf);
+                    const base::store_version &AsOf, listing_source Source);
+  bool joinEra(std::uint64_t Era);
+  void beginEra(const base::store_version &AsOf);
+  bool mayShowCopy() const { return Clock() < RestoredUntil; }
+  bool applyListed(const routing::store_change &Item, std::uint64_t Era);
+  bool applyListedTarget(routing::target Target, std::uint64_t Era);
+  bool endUnlistedEvacuations(const std::set<base::domain_name> &Listed);
+  bool removeUnlistedTargets(const std::set<base::target_id> &Listed,
+                             base::boot_time At);
+  void removeTarget(const base::target_id &Id, base::boot_time At);
+  void adoptHeld(const state_snapshot &Snapshot);
+  bool adoptSnapshot(const state_snapshot &Snapshot);
+  void adoptBehindListing(const state_snapshot &Snapshot);
   void adopt(const state_snapshot &Snapshot);
   void adopt(const state_changes &Changes);
   void confirmAt(std::optional<std::chrono::milliseconds> Age);
@@ -201,6 +243,15 @@
   base::boot_time OutageEndedAt{};
   base::store_version ChangeVersion;
   base::store_version ConfirmedVersion;
+  restore_guard Guard;
+  /// Time until which listings may show a copy that is older than what is known
+  /// from an earlier era.
+  base::boot_time RestoredUntil{};
+  /// Time until which the state of another entry is taken over although it is
+  /// not newer, see needsPeerState().
+  base::boot_time PeerStateUntil{};
+  /// Newest configuration version that was refused.
+  std::uint64_t RefusedVersion = 0;
 };
 
 } // namespace skylarkdyke::gateway::detail
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -375,6 +375,7 @@
   const auto WatchDelay = detail::watchDelay(Context.EntryCount);
   Source.setBatchDelay(WatchDelay);
   Mesh.setWatchDelay(WatchDelay);
+  State.applyHeld();
   Mesh.tick(Now);
   if (State.confirmedVersion() > SkippedTo) {
     SkippedTo = State.confirmedVersion();
--- a/src/placement/target_registry.cpp
+++ b/src/placement/target_registry.cpp
@@ -175,6 +175,13 @@
   return Removed;
 }
 
+void target_registry::postponeRemovals(base::boot_time Now,
+                                       base::boot_time Until) {
+  for (const auto &[Id, State] : States)
+    if (State->RemovedAt && *State->RemovedAt > Now)
+      State->RemovedAt = std::max(*State->RemovedAt, Until);
+}
+
 void target_registry::sweep(base::boot_time Now) {
   for (auto It = States.begin(); It != States.end();) {
     const target_state &State = *It->second;
