Keep blocks as they are when the store returns from a copy

Callers could see a request that crashes targets sent again by entries that started after the return, since its block was lost with the copy, and a request refused with 503 for up to ten minutes although an operator or a completed response had ended its block, since the copy still held it.

Cause: crash_guard took each item of the store for a new block, and a block that the store had once shown for stored for good.

crash_sink gets onStoreRestored() and onRestoredBlock(), which the state is to call. After a return, relays store each block in force again 2 s later unless the store shows it or the block is about to expire. The latest 1024 ends are remembered for two minutes: a restored block that has ended is not put in force, neither from the store nor from the state of another entry, and relays and the entry that ended it remove its item after 4 s, when a removal is no longer taken for a lapsed lease. A write or a crash of the new era decides at once. RequestBlocked and BlockEnded lines state "restored" as source and reason.

--- a/src/gateway/detail/crash_guard.cpp
+++ b/src/gateway/detail/crash_guard.cpp
@@ -1,8 +1,10 @@
 #include "gateway/detail/crash_guard.hpp"
 
 #include "gateway/detail/target_probe.hpp"
+#include "skylarkdyke/base/overloaded.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <string>
 #include <utility>
 
@@ -26,6 +28,10 @@
 static constexpr std::size_t MaxRepeatedNotices = 64;
 /// Time after which a relay stores the block of another entry.
 static constexpr milliseconds RelayWriteDelay{2000};
+/// Time after which the item of an ended block is removed from a store that has
+/// returned. An entry that does not know the end could take an earlier removal
+/// for the end of a lease during the outage, and store the block again.
+static constexpr milliseconds RestoredRemovalDelay{4000};
 /// A block that is removed from the store earlier than this before its end was
 /// ended by an operator or because a target completed the request. Otherwise it
 /// has expired, which the entries do at different times.
@@ -103,30 +109,57 @@
   crash_update Update;
   for (const std::uint64_t Fingerprint :
        {Request.OfCaller, Request.OfAnyCaller})
-    if (clear(Fingerprint, "completed", Now))
+    if (clear(Fingerprint, "completed", true, Now))
       Update.Cleared.push_back(Fingerprint);
   if (!Update.empty())
     publish(std::move(Update), Now);
 }
 
+/// \param IsOwn this entry has found out the reason
 /// \return whether anything was known of the fingerprint
 bool crash_guard::clear(std::uint64_t Fingerprint, const char *Reason,
-                        base::boot_time Now) {
+                        bool IsOwn, base::boot_time Now) {
   const bool WasBlocked = Register.isBlocked(Fingerprint, Now);
   if (!Register.clear(Fingerprint))
     return false;
-  Unstored.erase(Fingerprint);
   countEvent("cleared");
   if (!WasBlocked)
     return true;
-  SKYLARKDYKE_DECISION(
-      Log, BlockEnded, Now,
-      {{"fingerprint", poison::toString(Fingerprint)}, {"reason", Reason}});
+  StoreTasks.erase(Fingerprint);
+  noteEnded(Fingerprint, {Now, IsOwn});
+  logEnded(Fingerprint, Reason, Now);
   if (Store.Remove)
     Store.Remove(Fingerprint);
   return true;
 }
 
+void crash_guard::logEnded(std::uint64_t Fingerprint, const char *Reason,
+                           base::boot_time Now) {
+  SKYLARKDYKE_DECISION(
+      Log, BlockEnded, Now,
+      {{"fingerprint", poison::toString(Fingerprint)}, {"reason", Reason}});
+}
+
+/// Remembers an end. Beyond the limit the earliest one is forgotten.
+void crash_guard::noteEnded(std::uint64_t Fingerprint,
+                            const ended_block &Ended) {
+  EndedBlocks[Fingerprint] = Ended;
+  if (EndedBlocks.size() <= MaxEndedBlocks)
+    return;
+  const auto EndedEarlier = [](const auto &Left, const auto &Right) {
+    return Left.second.EndedAt < Right.second.EndedAt;
+  };
+  EndedBlocks.erase(
+      std::min_element(EndedBlocks.begin(), EndedBlocks.end(), EndedEarlier));
+}
+
+void crash_guard::forgetEndedBlocks(base::boot_time Now) {
+  for (auto It = EndedBlocks.begin(); It != EndedBlocks.end();) {
+    const bool IsOld = It->second.EndedAt + EndedBlockRetention <= Now;
+    It = IsOld ? EndedBlocks.erase(It) : std::next(It);
+  }
+}
+
 void crash_guard::onTargetEnded(const placement::target_incarnation &Target) {
   Evidence.recordEnd(incarnationKey(Target), base::boot_clock::now());
   scheduleDecision();
@@ -165,6 +198,8 @@
     return "entry";
   case source::Store:
     return "store";
+  case source::RestoredStore:
+    return "restored";
   }
   return "unknown";
 }
@@ -191,18 +226,23 @@
 
 void crash_guard::onBlocked(std::uint64_t Fingerprint, source Source,
                             base::boot_time Now) {
-  const auto *Block = Register.findBlock(Fingerprint, Now);
   countEvent("blocked");
+  logBlocked(*Register.findBlock(Fingerprint, Now), Source, Now);
+  EndedBlocks.erase(Fingerprint);
+  const bool IsOwn = Source == source::Own;
+  const milliseconds Delay = IsOwn ? milliseconds(0) : RelayWriteDelay;
+  StoreTasks[Fingerprint] = {block_write{false}, Now + Delay, IsOwn};
+}
+
+void crash_guard::logBlocked(const poison::blocked_request &Block,
+                             source Source, base::boot_time Now) {
   SKYLARKDYKE_DECISION(Log, RequestBlocked, Now,
-                       {{"fingerprint", poison::toString(Fingerprint)},
-                        {"summary", Block->Summary},
-                        {"service", Block->Service.str()},
-                        {"crashes", static_cast<std::int64_t>(Block->Crashes)},
-                        {"blocked_ms", nanoseconds(Block->BlockedUntil - Now)},
+                       {{"fingerprint", poison::toString(Block.Fingerprint)},
+                        {"summary", Block.Summary},
+                        {"service", Block.Service.str()},
+                        {"crashes", static_cast<std::int64_t>(Block.Crashes)},
+                        {"blocked_ms", nanoseconds(Block.BlockedUntil - Now)},
                         {"source", toText(Source)}});
-  const bool IsOwn = Source == source::Own;
-  Unstored[Fingerprint] = {Now + (IsOwn ? milliseconds(0) : RelayWriteDelay),
-                           IsOwn};
 }
 
 void crash_guard::publish(crash_update Update, base::boot_time Now) {
@@ -224,13 +264,16 @@
   for (const auto &[Encoded, EndsIn] : Update.Blocks) {
     poison::blocked_request Block = Encoded;
     Block.BlockedUntil = Now + EndsIn;
+    // The other entry may have it from a copy of the store.
+    if (EndedBlocks.count(Block.Fingerprint) != 0)
+      continue;
     if (EndsIn.count() > 0 && Register.block(Block, Now)) {
       onBlocked(Block.Fingerprint, source::Entry, Now);
       IsNew = true;
     }
   }
   for (const std::uint64_t Fingerprint : Update.Cleared)
-    IsNew = clear(Fingerprint, "entry", Now) || IsNew;
+    IsNew = clear(Fingerprint, "entry", false, Now) || IsNew;
   if (IsNotice && IsNew && Publish)
     Publish(Update, true);
 }
@@ -247,6 +290,12 @@
 }
 
 void crash_guard::onStoredBlock(const routing::request_blocked &Block) {
+  putInForce(Block, source::Store);
+}
+
+/// Puts a block in force that the store holds.
+void crash_guard::putInForce(const routing::request_blocked &Block,
+                             source Source) {
   const auto Now = base::boot_clock::now();
   // The store tells how long a block lasts by removing it.
   const poison::blocked_request Request{Block.Fingerprint, Block.Service,
@@ -254,24 +303,64 @@
                                         Now + poison::BlockDuration};
   if (!Register.isBlocked(Block.Fingerprint, Now) &&
       Register.block(Request, Now))
-    onBlocked(Block.Fingerprint, source::Store, Now);
-  Unstored.erase(Block.Fingerprint);
+    onBlocked(Block.Fingerprint, Source, Now);
+  StoreTasks.erase(Block.Fingerprint);
+}
+
+void crash_guard::onStoreRestored() {
+  const auto Now = base::boot_clock::now();
+  for (auto It = StoreTasks.begin(); It != StoreTasks.end();) {
+    const bool IsRemoval =
+        std::holds_alternative<item_removal>(It->second.Work);
+    It = IsRemoval ? StoreTasks.erase(It) : std::next(It);
+  }
+  for (const poison::blocked_request &Block : Register.blocked(Now))
+    if (Block.BlockedUntil - Now >= ExpiryMargin)
+      StoreTasks.try_emplace(
+          Block.Fingerprint,
+          store_task{block_write{true}, Now + RelayWriteDelay, false});
+}
+
+void crash_guard::onRestoredBlock(const routing::request_blocked &Block) {
+  const auto Ended = EndedBlocks.find(Block.Fingerprint);
+  if (Ended == EndedBlocks.end())
+    return putInForce(Block, source::RestoredStore);
+  const auto Now = base::boot_clock::now();
+  Ended->second.EndedAt = Now;
+  const store_task Removal{item_removal{}, Now + RestoredRemovalDelay,
+                           Ended->second.IsOwn};
+  // Further listings may follow before the item is removed.
+  if (StoreTasks.try_emplace(Block.Fingerprint, Removal).second)
+    logEnded(Block.Fingerprint, "restored", Now);
 }
 
 void crash_guard::onStoredBlockRemoved(std::uint64_t Fingerprint,
                                        bool MayHaveLapsed) {
   const auto Now = base::boot_clock::now();
   const auto *Block = Register.findBlock(Fingerprint, Now);
+  if (Block == nullptr)
+    StoreTasks.erase(Fingerprint);
   if (Block == nullptr || Block->BlockedUntil - Now < ExpiryMargin)
     return;
   if (MayHaveLapsed)
-    Unstored[Fingerprint] = {Now + RelayWriteDelay, false};
+    StoreTasks[Fingerprint] = {block_write{false}, Now + RelayWriteDelay,
+                               false};
   else
-    clear(Fingerprint, "removed", Now);
+    clear(Fingerprint, "removed", false, Now);
 }
 
 void crash_guard::tick(bool IsRelay, base::boot_time Now) {
   Evidence.forgetExpired(Now);
+  forgetEndedBlocks(Now);
+  repeatNotices(Now);
+  runStoreTasks(IsRelay, Now);
+  Metrics
+      .gauge("skylarkdyke_requests_blocked",
+             "Requests that are refused because they crash targets")
+      .set(static_cast<double>(Register.blocked(Now).size()));
+}
+
+void crash_guard::repeatNotices(base::boot_time Now) {
   while (!Notices.empty() && Notices.front().DueAt <= Now) {
     repeated_notice Notice = std::move(Notices.front());
     Notices.pop_front();
@@ -281,22 +370,36 @@
     if (--Notice.Left > 0)
       Notices.push_back(std::move(Notice));
   }
-  for (auto It = Unstored.begin(); It != Unstored.end();) {
-    const auto &[Fingerprint, Unwritten] = *It;
-    if (Unwritten.DueAt > Now) {
+}
+
+void crash_guard::runStoreTasks(bool IsRelay, base::boot_time Now) {
+  for (auto It = StoreTasks.begin(); It != StoreTasks.end();) {
+    const auto &[Fingerprint, Task] = *It;
+    if (Task.DueAt > Now) {
       ++It;
       continue;
     }
-    const auto *Block = Register.findBlock(Fingerprint, Now);
-    if (Block != nullptr && Store.Write && (IsRelay || Unwritten.IsOwn))
-      Store.Write(
-          {Fingerprint, Block->Service, Block->Summary, Block->Crashes});
-    It = Unstored.erase(It);
+    if (IsRelay || Task.IsOwn)
+      std::visit(base::overloaded{[&, Key = Fingerprint](block_write Write) {
+                                    writeBlock(Key, Write.WasLost, Now);
+                                  },
+                                  [&, Key = Fingerprint](item_removal) {
+                                    if (Store.Remove)
+                                      Store.Remove(Key);
+                                  }},
+                 Task.Work);
+    It = StoreTasks.erase(It);
   }
-  Metrics
-      .gauge("skylarkdyke_requests_blocked",
-             "Requests that are refused because they crash targets")
-      .set(static_cast<double>(Register.blocked(Now).size()));
+}
+
+void crash_guard::writeBlock(std::uint64_t Fingerprint, bool WasLost,
+                             base::boot_time Now) {
+  const auto *Block = Register.findBlock(Fingerprint, Now);
+  if (Block == nullptr || !Store.Write)
+    return;
+  if (WasLost)
+    logBlocked(*Block, source::RestoredStore, Now);
+  Store.Write({Fingerprint, Block->Service, Block->Summary, Block->Crashes});
 }
 
 } // namespace skylarkdyke::gateway::detail
--- a/src/gateway/detail/crash_guard.hpp
+++ b/src/gateway/detail/crash_guard.hpp
@@ -9,11 +9,13 @@
 #include "skylarkdyke/telemetry/decision_log.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
+#include <variant>
 
 namespace skylarkdyke::gateway::detail {
 
@@ -27,6 +29,11 @@
 /// Not thread-safe: all calls must come from the thread of the event loop.
 class crash_guard : public crash_sink {
 public:
+  /// Maximum number of ended blocks that are remembered, and for how long. The
+  /// store may return from a copy that still holds them.
+  static constexpr std::size_t MaxEndedBlocks = 1024;
+  static constexpr std::chrono::minutes EndedBlockRetention{2};
+
   /// Sends an update to other entries.
   /// \param PassedOn it came from another entry
   using publisher =
@@ -71,28 +78,44 @@
   void adopt(const crash_update &Update, bool IsNotice) override;
   crash_update snapshot() const override;
   void onStoredBlock(const routing::request_blocked &Block) override;
+  void onStoreRestored() override;
+  void onRestoredBlock(const routing::request_blocked &Block) override;
   void onStoredBlockRemoved(std::uint64_t Fingerprint,
                             bool MayHaveLapsed) override;
   void onTargetEnded(const placement::target_incarnation &Target) override;
 
-  /// \brief Repeats notices and stores blocks that are due.
-  /// \param IsRelay this entry also stores the blocks of others that are not
-  /// stored yet
+  /// \brief Repeats notices, and stores blocks and removes items that are due.
+  /// \param IsRelay this entry also does so for blocks that others have found
+  /// out or ended
   void tick(bool IsRelay, base::boot_time Now);
 
 private:
   /// Who has told of a crash or a block.
-  enum class source { Own, Entry, Store };
+  enum class source { Own, Entry, Store, RestoredStore };
   /// A notice that is sent once more, because datagrams may be lost.
   struct repeated_notice {
     crash_update Update;
     base::boot_time DueAt;
     unsigned Left;
   };
-  /// A block that is not known to be in the store.
-  struct unstored_block {
+  /// Stores a block that is not known to be in the store.
+  struct block_write {
+    /// The store has lost it by its return from a copy.
+    bool WasLost;
+  };
+  /// Removes the item of an ended block that a restored store holds.
+  struct item_removal {};
+  struct store_task {
+    std::variant<block_write, item_removal> Work;
     base::boot_time DueAt;
-    /// This entry has found out the last crash.
+    /// This entry has found out the last crash, or that a target has completed
+    /// the request.
+    bool IsOwn;
+  };
+  /// A block that was ended before its time.
+  struct ended_block {
+    base::boot_time EndedAt;
+    /// This entry has found out that a target has completed the request.
     bool IsOwn;
   };
 
@@ -102,8 +125,18 @@
   bool count(const poison::target_crash &Crash, source Source,
              base::boot_time Now);
   void onBlocked(std::uint64_t Fingerprint, source Source, base::boot_time Now);
-  bool clear(std::uint64_t Fingerprint, const char *Reason,
+  void logBlocked(const poison::blocked_request &Block, source Source,
+                  base::boot_time Now);
+  void logEnded(std::uint64_t Fingerprint, const char *Reason,
+                base::boot_time Now);
+  void putInForce(const routing::request_blocked &Block, source Source);
+  bool clear(std::uint64_t Fingerprint, const char *Reason, bool IsOwn,
              base::boot_time Now);
+  void noteEnded(std::uint64_t Fingerprint, const ended_block &Ended);
+  void repeatNotices(base::boot_time Now);
+  void runStoreTasks(bool IsRelay, base::boot_time Now);
+  void writeBlock(std::uint64_t Fingerprint, bool WasLost, base::boot_time Now);
+  void forgetEndedBlocks(base::boot_time Now);
   void publish(crash_update Update, base::boot_time Now);
   void countEvent(const char *Name);
 
@@ -117,7 +150,9 @@
   block_store Store;
   std::deque<repeated_notice> Notices;
   /// By fingerprint.
-  std::map<std::uint64_t, unstored_block> Unstored;
+  std::map<std::uint64_t, store_task> StoreTasks;
+  /// By fingerprint. None of them is in force.
+  std::map<std::uint64_t, ended_block> EndedBlocks;
 };
 
 } // namespace skylarkdyke::gateway::detail
--- a/src/gateway/detail/crash_update.hpp
+++ b/src/gateway/detail/crash_update.hpp
@@ -63,9 +63,17 @@
   /// \brief Returns what an entry that starts must know.
   virtual crash_update snapshot() const = 0;
 
-  /// \brief Adopts a block that is in the store.
+  /// \brief Adopts a block that was written to the store.
   virtual void onStoredBlock(const routing::request_blocked &Block) = 0;
 
+  /// \brief Handles the return of the store from a copy, which may lack blocks
+  /// and may hold blocks that have ended since. To be called once for each new
+  /// era, before onRestoredBlock() for the blocks that the store holds.
+  virtual void onStoreRestored() = 0;
+
+  /// \brief Handles a block that a store that was restored from a copy holds.
+  virtual void onRestoredBlock(const routing::request_blocked &Block) = 0;
+
   /// \brief Handles the removal of a block from the store.
   /// \param MayHaveLapsed the store was away, so that the block may have been
   /// lost there before its time
--- a/tests/unit-gateway-crashes.cpp
+++ b/tests/unit-gateway-crashes.cpp
@@ -2,8 +2,10 @@
 #include "gateway/detail/state_codec.hpp"
 #include "support/free_port.hpp"
 
-#include <fcntl.h>
+#include <array>
 #include <memory>
+#include <sys/mman.h>
+#include <thread>
 #include <unistd.h>
 #include <vector>
 
@@ -36,6 +38,10 @@
           base::boot_clock::now()};
 }
 
+static routing::request_blocked storedBlock(std::uint64_t Fingerprint) {
+  return {Fingerprint, base::service_name("s"), "GET /x", 3};
+}
+
 static crash_update crashesOf(const poison::request_identity &Request,
                               std::uint64_t Incarnation) {
   crash_update Update;
@@ -82,7 +88,7 @@
 
 TEST_GROUP(gateway_crashes) {
   boost::asio::io_context Loop;
-  int LogFile = open("/dev/null", O_WRONLY | O_CLOEXEC);
+  int LogFile = memfd_create("log", MFD_CLOEXEC);
   telemetry::decision_log Log{LogFile, "test"};
   std::vector<std::unique_ptr<guarded_entry>> Entries;
 
@@ -95,6 +101,15 @@
     close(LogFile);
   }
 
+  /// Reads the lines of the log from its start on.
+  std::string logText() {
+    Log.flush();
+    std::array<char, 65536> Text{};
+    const ssize_t Size = pread(LogFile, Text.data(), Text.size(), 0);
+    CHECK(Size >= 0);
+    return {Text.data(), static_cast<std::size_t>(Size)};
+  }
+
   /// Loses a connection of the bad request at a target that has ended.
   void loseTarget(guarded_entry & Entry, std::uint64_t Incarnation) {
     Entry.Guard.addAttempt({Bad, base::service_name("s"),
@@ -224,3 +239,247 @@
   Guard.onStoredBlockRemoved(Bad.OfCaller, false);
   CHECK(!Entries[0]->isBlocked());
 }
+
+// Guards against blocks that are lost for entries that start later, because the
+// copy from which the store has returned is older.
+TEST(gateway_crashes, ABlockThatTheStoreHasLostIsStoredAgainByRelays) {
+  addEntries(2);
+  for (auto &Entry : Entries) {
+    Entry->Guard.onStoredBlock(storedBlock(Bad.OfCaller));
+    Entry->Guard.onStoreRestored();
+  }
+  const auto Now = base::boot_clock::now();
+  for (auto &Entry : Entries)
+    Entry->Guard.tick(Entry == Entries[0], Now + 1s);
+  LONGS_EQUAL(0, Entries[0]->Written.size());
+  for (auto &Entry : Entries)
+    Entry->Guard.tick(Entry == Entries[0], Now + 5s);
+  LONGS_EQUAL(1, Entries[0]->Written.size());
+  LONGS_EQUAL(0, Entries[1]->Written.size());
+  CHECK(Entries[1]->isBlocked());
+  STRCMP_CONTAINS("\"source\":\"restored\"", logText().c_str());
+}
+
+// Guards against writes of blocks that the copy holds, and of blocks that
+// another entry has stored again.
+TEST(gateway_crashes, ABlockThatTheRestoredStoreHoldsIsNotWritten) {
+  addEntries(1);
+  crash_guard &Guard = Entries[0]->Guard;
+  Guard.onStoredBlock(storedBlock(Bad.OfCaller));
+  Guard.onStoredBlock(storedBlock(Bad.OfAnyCaller));
+  Guard.onStoreRestored();
+  Guard.onRestoredBlock(storedBlock(Bad.OfCaller));
+  Guard.onStoredBlock(storedBlock(Bad.OfAnyCaller));
+  Guard.tick(true, base::boot_clock::now() + 5s);
+  LONGS_EQUAL(0, Entries[0]->Written.size());
+  LONGS_EQUAL(0, Entries[0]->Removed.size());
+  CHECK(Entries[0]->isBlocked());
+}
+
+// Guards against an entry that sees its first listing after the return and
+// lets a request through that is blocked.
+TEST(gateway_crashes, ARestoredBlockOfWhichNoEndIsKnownIsInForce) {
+  addEntries(1);
+  Entries[0]->Guard.onStoreRestored();
+  Entries[0]->Guard.onRestoredBlock(storedBlock(Bad.OfCaller));
+  CHECK(Entries[0]->isBlocked());
+  STRCMP_CONTAINS("\"source\":\"restored\"", logText().c_str());
+}
+
+// Guards against a block that returns with the copy although an operator has
+// ended it, and against an item that stays and blocks the request at each entry
+// that starts.
+TEST(gateway_crashes, ABlockThatAnOperatorHasEndedStaysEnded) {
+  addEntries(2);
+  for (auto &Entry : Entries) {
+    Entry->Guard.onStoredBlock(storedBlock(Bad.OfCaller));
+    Entry->Guard.onStoredBlockRemoved(Bad.OfCaller, false);
+    Entry->Removed.clear();
+    Entry->Guard.onStoreRestored();
+    Entry->Guard.onRestoredBlock(storedBlock(Bad.OfCaller));
+    CHECK(!Entry->isBlocked());
+  }
+  const auto Now = base::boot_clock::now();
+  for (auto &Entry : Entries)
+    Entry->Guard.tick(Entry == Entries[0], Now + 10s);
+  LONGS_EQUAL(1, Entries[0]->Removed.size());
+  LONGS_EQUAL(0, Entries[1]->Removed.size());
+  LONGS_EQUAL(0, Entries[0]->Written.size());
+  STRCMP_CONTAINS("\"reason\":\"restored\"", logText().c_str());
+}
+
+// Guards against an item that stays in the store because no relay knows that a
+// target has completed the request.
+TEST(gateway_crashes, TheEntryThatEndedABlockRemovesItFromARestoredStore) {
+  addEntries(2);
+  for (auto &Entry : Entries)
+    Entry->adoptThreeCrashes();
+  Entries[0]->Guard.recordCompletion(Bad);
+  Entries[1]->Guard.adopt(overTheWire(Entries[0]->Published.at(0)), true);
+  const auto Now = base::boot_clock::now();
+  for (auto &Entry : Entries) {
+    Entry->Removed.clear();
+    Entry->Guard.onStoreRestored();
+    Entry->Guard.onRestoredBlock(storedBlock(Bad.OfAnyCaller));
+    CHECK(!Entry->isBlocked());
+    Entry->Guard.tick(false, Now + 10s);
+  }
+  LONGS_EQUAL(1, Entries[0]->Removed.size());
+  LONGS_EQUAL(0, Entries[1]->Removed.size());
+}
+
+// Guards against a removal that other entries take for the end of a lease
+// during the outage, so that they store the block again.
+TEST(gateway_crashes, ARestoredBlockIsRemovedAfterLeasesHaveRecovered) {
+  addEntries(1);
+  crash_guard &Guard = Entries[0]->Guard;
+  Guard.onStoredBlock(storedBlock(Bad.OfCaller));
+  Guard.onStoredBlockRemoved(Bad.OfCaller, false);
+  Entries[0]->Removed.clear();
+  Guard.onStoreRestored();
+  Guard.onRestoredBlock(storedBlock(Bad.OfCaller));
+  Guard.tick(true, base::boot_clock::now() + 3s);
+  LONGS_EQUAL(0, Entries[0]->Removed.size());
+  // Another entry was faster.
+  Guard.onStoredBlockRemoved(Bad.OfCaller, false);
+  Guard.tick(true, base::boot_clock::now() + 10s);
+  LONGS_EQUAL(0, Entries[0]->Removed.size());
+}
+
+// Guards against an item that is never removed because the store is listed
+// again and again, and against a line for each listing.
+TEST(gateway_crashes, FurtherListingsDoNotRepeatTheRemoval) {
+  addEntries(1);
+  crash_guard &Guard = Entries[0]->Guard;
+  Guard.onStoredBlock(storedBlock(Bad.OfCaller));
+  Guard.onStoredBlockRemoved(Bad.OfCaller, false);
+  Entries[0]->Removed.clear();
+  Guard.onStoreRestored();
+  Guard.onRestoredBlock(storedBlock(Bad.OfCaller));
+  const auto Now = base::boot_clock::now();
+  std::this_thread::sleep_for(20ms);
+  Guard.onRestoredBlock(storedBlock(Bad.OfCaller));
+  Guard.tick(true, Now + 4s);
+  LONGS_EQUAL(1, Entries[0]->Removed.size());
+  const std::string Text = logText();
+  const std::size_t First = Text.find("\"reason\":\"restored\"");
+  CHECK(First != std::string::npos);
+  CHECK(Text.find("\"reason\":\"restored\"", First + 1) == std::string::npos);
+}
+
+// Guards against a block that is about to expire and lasts ten more minutes at
+// entries that start, because it was stored again.
+TEST(gateway_crashes, ABlockThatIsAboutToExpireIsNotStoredAgain) {
+  addEntries(1);
+  crash_guard &Guard = Entries[0]->Guard;
+  crash_update Update;
+  for (const auto &[Fingerprint, EndsIn] :
+       {std::pair(std::uint64_t{1}, 10s), std::pair(std::uint64_t{2}, 60s)})
+    Update.Blocks.push_back(
+        {{Fingerprint, base::service_name("s"), "GET /x", 3, base::boot_time{}},
+         EndsIn});
+  Guard.adopt(overTheWire(Update), false);
+  CHECK(Entries[0]->isBlocked({1, 1}));
+  Guard.tick(false, base::boot_clock::now() + 5s);
+  Guard.onStoreRestored();
+  Guard.tick(true, base::boot_clock::now() + 5s);
+  LONGS_EQUAL(1, Entries[0]->Written.size());
+  LONGS_EQUAL(2, Entries[0]->Written.at(0));
+}
+
+// Guards against an entry that has adopted the restored block, whose state
+// blocks the request again at those that know better.
+TEST(gateway_crashes, AStateOfAnotherEntryDoesNotRestoreAnEndedBlock) {
+  addEntries(2);
+  Entries[0]->Guard.onStoreRestored();
+  Entries[0]->Guard.onRestoredBlock(storedBlock(Bad.OfCaller));
+  Entries[1]->Guard.onStoredBlock(storedBlock(Bad.OfCaller));
+  Entries[1]->Guard.onStoredBlockRemoved(Bad.OfCaller, false);
+  Entries[1]->Guard.onStoreRestored();
+  Entries[1]->Guard.adopt(overTheWire(Entries[0]->Guard.snapshot()), false);
+  CHECK(!Entries[1]->isBlocked());
+}
+
+// Guards against the memory of an end that keeps a request from being blocked
+// after new crashes, or removes the new block from the store.
+TEST(gateway_crashes, ABlockAfterTheReturnHoldsAlthoughAnEarlierOneHasEnded) {
+  addEntries(2);
+  for (auto &Entry : Entries) {
+    Entry->Guard.onStoredBlock(storedBlock(Bad.OfCaller));
+    Entry->Guard.onStoredBlockRemoved(Bad.OfCaller, false);
+    Entry->Removed.clear();
+    Entry->Guard.onStoreRestored();
+    Entry->Guard.onRestoredBlock(storedBlock(Bad.OfCaller));
+  }
+  Entries[0]->adoptThreeCrashes();
+  Entries[1]->Guard.onStoredBlock(storedBlock(Bad.OfCaller));
+  for (auto &Entry : Entries) {
+    CHECK(Entry->isBlocked());
+    Entry->Guard.tick(true, base::boot_clock::now() + 10s);
+    LONGS_EQUAL(0, Entry->Removed.size());
+  }
+  LONGS_EQUAL(2, Entries[0]->Written.size());
+}
+
+// Guards against a second return that undoes what the entries wrote after the
+// first one.
+TEST(gateway_crashes, EachReturnOfTheStoreIsRepaired) {
+  addEntries(1);
+  crash_guard &Guard = Entries[0]->Guard;
+  Guard.onStoredBlock(storedBlock(1));
+  Guard.onStoredBlock(storedBlock(2));
+  Guard.onStoredBlockRemoved(2, false);
+  Entries[0]->Removed.clear();
+  for (std::size_t Return = 1; Return <= 2; ++Return) {
+    Guard.onStoreRestored();
+    Guard.onRestoredBlock(storedBlock(2));
+    Guard.tick(true, base::boot_clock::now() + 10s);
+    LONGS_EQUAL(Return, Entries[0]->Written.size());
+    LONGS_EQUAL(Return, Entries[0]->Removed.size());
+    Guard.onStoredBlock(storedBlock(1));
+    Guard.onStoredBlockRemoved(2, false);
+  }
+  CHECK(!Entries[0]->isBlocked({2, 2}));
+}
+
+// Guards against tasks of an earlier return that are carried out although the
+// store no longer needs them.
+TEST(gateway_crashes, ASecondReturnReplacesTheTasksOfTheFirst) {
+  addEntries(1);
+  crash_guard &Guard = Entries[0]->Guard;
+  Guard.onStoredBlock(storedBlock(1));
+  Guard.onStoredBlock(storedBlock(2));
+  Guard.onStoredBlockRemoved(2, false);
+  Entries[0]->Removed.clear();
+  Guard.onStoreRestored();
+  Guard.onRestoredBlock(storedBlock(2));
+  Guard.onStoreRestored();
+  Guard.onRestoredBlock(storedBlock(1));
+  Guard.tick(true, base::boot_clock::now() + 10s);
+  LONGS_EQUAL(0, Entries[0]->Written.size());
+  LONGS_EQUAL(0, Entries[0]->Removed.size());
+}
+
+// Guards against the memory of ends that grows without bound.
+TEST(gateway_crashes, EndsAreForgottenByNumberAndTime) {
+  addEntries(2);
+  crash_guard &Guard = Entries[0]->Guard;
+  static constexpr std::uint64_t Last = crash_guard::MaxEndedBlocks + 1;
+  for (std::uint64_t Fingerprint = 1; Fingerprint <= Last; ++Fingerprint) {
+    Guard.onStoredBlock(storedBlock(Fingerprint));
+    Guard.onStoredBlockRemoved(Fingerprint, false);
+  }
+  Guard.onStoreRestored();
+  for (const std::uint64_t Fingerprint : {std::uint64_t{1}, Last})
+    Guard.onRestoredBlock(storedBlock(Fingerprint));
+  CHECK(Entries[0]->isBlocked({1, 1}));
+  CHECK(!Entries[0]->isBlocked({Last, Last}));
+
+  Entries[1]->Guard.onStoredBlock(storedBlock(1));
+  Entries[1]->Guard.onStoredBlockRemoved(1, false);
+  Entries[1]->Guard.tick(false, base::boot_clock::now() +
+                                    crash_guard::EndedBlockRetention);
+  Entries[1]->Guard.onStoreRestored();
+  Entries[1]->Guard.onRestoredBlock(storedBlock(1));
+  CHECK(Entries[1]->isBlocked({1, 1}));
+}
