--- a/tests/unit-platform-block-writer.cpp
+++ b/tests/unit-platform-block-writer.cpp
@@ -13,7 +13,8 @@
 using namespace std::chrono_literals;
 using nlohmann::json;
 
-static constexpr std::uint64_t FirstLease = 100;
+/// An id that a double cannot hold.
+static constexpr std::uint64_t FirstLease = (std::uint64_t{1} << 60U) + 1;
 
 static routing::request_blocked blockOf(std::uint64_t Fingerprint) {
   return {Fingerprint, base::service_name("s"), "GET /x", 3};
