Tell the register of blocks that the store came back from a copy

Blocks that are in force and lost by the return are stored again, and a block that was ended since the copy stays ended: the state calls the functions that the register has for this.

--- a/src/gateway/detail/steering_state.cpp
+++ b/src/gateway/detail/steering_state.cpp
@@ -175,6 +175,8 @@
   const auto Now = Clock();
   RestoredUntil = Now + restore_guard::HoldTime;
   TargetRegistry.postponeRemovals(Now, Now + RecordRecoveryTime);
+  if (Crashes != nullptr)
+    Crashes->onStoreRestored();
 }
 
 /// Applies an item of a listing, or of the state of another entry, unless it
@@ -189,6 +191,11 @@
   Guard.release(Item);
   if (const auto *Target = std::get_if<routing::target_published>(&Item))
     return applyListedTarget(Target->Target, Era);
+  const auto *Block = std::get_if<routing::request_blocked>(&Item);
+  if (Block != nullptr && Crashes != nullptr && mayShowCopy()) {
+    Crashes->onRestoredBlock(*Block);
+    return true;
+  }
   applyChange(Item);
   return true;
 }
