--- a/tests/support/platform_stand_in.cpp
+++ b/tests/support/platform_stand_in.cpp
@@ -18,6 +18,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 #include <thread>
+#include <utility>
 
 namespace test_support {
 
@@ -28,10 +29,22 @@
 
 namespace {
 
+constexpr const char *HealthPath = "/healthz";
+
 struct stored_item {
   std::string Value;
   std::uint64_t Revision = 0;
   bool Deleted = false;
+  /// 0: none.
+  std::uint64_t Lease = 0;
+};
+
+/// What a store loses when it comes back from an earlier copy.
+struct store_content {
+  std::map<std::string, stored_item> Items;
+  std::uint64_t Revision = 10;
+  std::set<std::uint64_t> Leases;
+  std::uint64_t NextLease = 7;
 };
 
 struct waiting_watch {
@@ -73,6 +86,8 @@
   int Runs = 0;
   /// Requests that have arrived, refused ones included.
   int Arrivals = 0;
+  /// Arrivals that are no health checks.
+  int CallerRequests = 0;
   std::unique_ptr<net::http_server> Server;
   std::unique_ptr<boost::asio::ip::tcp::acceptor> FloodAcceptor;
   std::string FloodStart;
@@ -92,13 +107,20 @@
     return Done.get_future().get();
   }
 
+  void openStore();
   void handleStore(const pending &Request);
+  void reply(const pending &Request, net::http_response Response) const;
+  void createLease(const pending &Request);
+  void renewLease(const pending &Request, const std::string &Target) const;
   void list(const pending &Request, const std::string &Target);
   void watch(const pending &Request, const std::string &Target);
   void answerJson(const pending &Request, const json &Answer) const;
   bool answerEvents(const pending &Request, std::uint64_t After);
   void write(const pending &Request);
-  int put(const std::string &Key, const std::string &Value, bool Deleted);
+  int put(const std::string &Key, const std::string &Value, bool Deleted,
+          std::uint64_t Lease = 0);
+  int goAway();
+  int returnFromCopy();
   void handleTarget(stand_in_target &Target, const pending &Request);
   static void answer(const stand_in_target &Target, const pending &Request,
                      net::http_response Response);
@@ -110,11 +132,15 @@
       Guard{Loop.get_executor()};
   base::endpoint Address{"127.0.0.1", freePort()};
   std::unique_ptr<net::http_server> Store;
-  std::map<std::string, stored_item> Items;
+  store_content Content;
+  store_content Copy;
+  std::uint64_t Era = 1;
+  /// A watch from an earlier revision gets 410.
+  std::uint64_t OldestWatchable = 0;
+  bool IsAway = false;
   std::vector<waiting_watch> Watches;
   /// Kept so that their connections stay open.
   std::vector<pending> SilencedRequests;
-  std::uint64_t Revision = 10;
   bool TurnsAllAway = false;
   bool IsSilent = false;
   std::size_t SilencedWatchCount = 0;
@@ -129,10 +155,7 @@
 };
 
 platform_stand_in::impl::impl() {
-  Store = std::make_unique<net::http_server>(
-      Loop, 1000, [] { return base::message_limits(); },
-      [this](const pending &Request) { handleStore(Request); });
-  Store->listen(Address);
+  openStore();
   Thread = std::thread([this] { Loop.run(); });
 }
 
@@ -151,24 +174,55 @@
   Thread.join();
 }
 
+void platform_stand_in::impl::openStore() {
+  Store = std::make_unique<net::http_server>(
+      Loop, 1000, [] { return base::message_limits(); },
+      [this](const pending &Request) { handleStore(Request); });
+  Store->listen(Address);
+  IsAway = false;
+}
+
+void platform_stand_in::impl::reply(const pending &Request,
+                                    net::http_response Response) const {
+  Response.set("Store-Era", std::to_string(Era));
+  Request->answer(std::move(Response));
+}
+
 void platform_stand_in::impl::handleStore(const pending &Request) {
+  if (IsAway)
+    return Request->abandon();
   const std::string Target(Request->request().target());
   if (IsSilent) {
     SilencedWatchCount += Target.find("/api/kv-watch") == 0 ? 1 : 0;
     return SilencedRequests.push_back(Request);
   }
   if (TurnsAllAway)
-    return Request->answer(net::makeResponse(503));
+    return reply(Request, net::makeResponse(503));
   if (Target.find("/api/kv-range") == 0)
     return list(Request, Target);
   if (Target.find("/api/kv-watch") == 0)
     return watch(Request, Target);
   if (Target.find("/api/kv-lease") == 0)
-    return Request->answer(
-        net::makeResponse(200, R"({"lease":7,"ttl_s_time":600})"));
+    return createLease(Request);
+  if (Target.find("/api/kv-keep/") == 0)
+    return renewLease(Request, Target);
   if (Target.find("/api/kv-txn") == 0)
     return write(Request);
-  Request->answer(net::makeResponse(404));
+  reply(Request, net::makeResponse(404));
+}
+
+void platform_stand_in::impl::createLease(const pending &Request) {
+  const std::uint64_t Lease = Content.NextLease++;
+  Content.Leases.insert(Lease);
+  reply(Request, net::makeResponse(
+                     200, json{{"lease", Lease}, {"ttl_s_time", 600}}.dump()));
+}
+
+void platform_stand_in::impl::renewLease(const pending &Request,
+                                         const std::string &Target) const {
+  const std::uint64_t Lease =
+      std::stoull(Target.substr(std::string("/api/kv-keep/").size()));
+  reply(Request, net::makeResponse(Content.Leases.count(Lease) ? 200 : 404));
 }
 
 void platform_stand_in::impl::answerJson(const pending &Request,
@@ -178,7 +232,7 @@
        !ReplacedText.empty() && At != std::string::npos;
        At = Text.find(ReplacedText, At + ReplacedBy.size()))
     Text.replace(At, ReplacedText.size(), ReplacedBy);
-  Request->answer(net::makeResponse(200, Text));
+  reply(Request, net::makeResponse(200, Text));
 }
 
 void platform_stand_in::impl::list(const pending &Request,
@@ -189,7 +243,7 @@
                                 ? std::string()
                                 : queryField(Target, "after");
   json Found = json::array();
-  for (const auto &[Key, Item] : Items)
+  for (const auto &[Key, Item] : Content.Items)
     if (!Item.Deleted && Key > After &&
         Key.compare(0, Prefix.size(), Prefix) == 0)
       Found.push_back({{"key", Key},
@@ -200,14 +254,15 @@
     Found.erase(Found.size() - 1);
   if (HasMore && Fault == store_fault::HidesKeys)
     Found.back()["key"] = 7;
-  answerJson(Request,
-             {{"items", Found}, {"has_more", HasMore}, {"as_of", Revision}});
+  answerJson(
+      Request,
+      {{"items", Found}, {"has_more", HasMore}, {"as_of", Content.Revision}});
 }
 
 bool platform_stand_in::impl::answerEvents(const pending &Request,
                                            std::uint64_t After) {
   json Events = json::array();
-  for (const auto &[Key, Item] : Items) {
+  for (const auto &[Key, Item] : Content.Items) {
     if (Item.Revision <= After)
       continue;
     json Event = {{"key", Key}, {"revision", Item.Revision}};
@@ -219,7 +274,7 @@
   }
   if (Events.empty())
     return false;
-  answerJson(Request, {{"events", Events}, {"as_of", Revision}});
+  answerJson(Request, {{"events", Events}, {"as_of", Content.Revision}});
   return true;
 }
 
@@ -227,45 +282,72 @@
                                     const std::string &Target) {
   ++Calls.Watches;
   if (Fault == store_fault::ForgetsHistory)
-    return Request->answer(net::makeResponse(410));
+    return reply(Request, net::makeResponse(410));
   const std::uint64_t After = std::stoull(queryField(Target, "after"));
+  if (After > Content.Revision || After < OldestWatchable)
+    return reply(Request, net::makeResponse(410));
   if (answerEvents(Request, After))
     return;
   if (Fault == store_fault::EndsWatches)
-    return Request->answer(net::makeResponse(
-        200, json{{"events", json::array()}, {"as_of", Revision}}.dump()));
+    return answerJson(Request,
+                      {{"events", json::array()}, {"as_of", Content.Revision}});
   const auto Timer = std::make_shared<boost::asio::steady_timer>(
       Loop,
       std::chrono::milliseconds(std::stoul(queryField(Target, "wait_ms"))));
   Timer->async_wait([this, Request](auto Failure) {
     if (!Failure)
-      Request->answer(net::makeResponse(
-          200, json{{"events", json::array()}, {"as_of", Revision}}.dump()));
+      answerJson(Request,
+                 {{"events", json::array()}, {"as_of", Content.Revision}});
   });
   Watches.push_back({Request, After, Timer});
 }
 
 void platform_stand_in::impl::write(const pending &Request) {
   const json Body = json::parse(Request->request().body());
+  const std::uint64_t NoLease = 0;
+  for (const json &Write : Body["writes"]) {
+    const std::uint64_t Lease = Write.value("lease", NoLease);
+    if (Lease != NoLease && Content.Leases.count(Lease) == 0)
+      return reply(Request, net::makeResponse(404));
+  }
   for (const json &Write : Body["writes"])
     put(Write["key"], *base::decodeBase64(Write["value"].get<std::string>()),
-        false);
-  Request->answer(net::makeResponse(200, json{{"revision", Revision}}.dump()));
+        false, Write.value("lease", NoLease));
+  reply(Request,
+        net::makeResponse(200, json{{"revision", Content.Revision}}.dump()));
 }
 
 int platform_stand_in::impl::put(const std::string &Key,
-                                 const std::string &Value, bool Deleted) {
-  Items[Key] = {Value, ++Revision, Deleted};
+                                 const std::string &Value, bool Deleted,
+                                 std::uint64_t Lease) {
+  Content.Items[Key] = {Value, ++Content.Revision, Deleted, Lease};
   const auto Waiting = std::move(Watches);
   Watches.clear();
   for (const waiting_watch &Watch : Waiting)
     if (TurnsAllAway)
-      Watch.Request->answer(net::makeResponse(503));
+      reply(Watch.Request, net::makeResponse(503));
     else
       answerEvents(Watch.Request, Watch.After);
   return 0;
 }
 
+int platform_stand_in::impl::goAway() {
+  IsAway = true;
+  for (const waiting_watch &Watch : std::exchange(Watches, {})) {
+    Watch.Timer->cancel();
+    Watch.Request->abandon();
+  }
+  Store->stopAccepting();
+  return 0;
+}
+
+int platform_stand_in::impl::returnFromCopy() {
+  Content = Copy;
+  OldestWatchable = Copy.Revision;
+  ++Era;
+  return 0;
+}
+
 void platform_stand_in::impl::handleTarget(stand_in_target &Target,
                                            const pending &Request) {
   const auto &Message = Request->request();
@@ -273,6 +355,8 @@
     return Request->answer(net::makeResponse(421));
   const std::string RequestId(Message["Skylarkdyke-Request-Id"]);
   ++Target.Arrivals;
+  if (Message.target() != HealthPath)
+    ++Target.CallerRequests;
   if (!Target.RefusalRetryAfter.empty()) {
     auto Refusal = net::makeResponse(503);
     Refusal.set("Skylarkdyke-Not-Executed", "1");
@@ -360,8 +444,46 @@
 
 std::string platform_stand_in::valueOf(const std::string &Key) const {
   return Impl->onLoop([&] {
-    const auto Found = Impl->Items.find(Key);
-    return Found == Impl->Items.end() ? std::string() : Found->second.Value;
+    const auto Found = Impl->Content.Items.find(Key);
+    return Found == Impl->Content.Items.end() ? std::string()
+                                              : Found->second.Value;
+  });
+}
+
+std::uint64_t platform_stand_in::leaseOf(const std::string &Key) const {
+  return Impl->onLoop([&] {
+    const auto Found = Impl->Content.Items.find(Key);
+    return Found == Impl->Content.Items.end() ? 0 : Found->second.Lease;
+  });
+}
+
+std::uint64_t platform_stand_in::revision() const {
+  return Impl->onLoop([this] { return Impl->Content.Revision; });
+}
+
+void platform_stand_in::takeCopy() {
+  Impl->onLoop([this] {
+    Impl->Copy = Impl->Content;
+    return 0;
+  });
+}
+
+void platform_stand_in::goAway() {
+  Impl->onLoop([this] { return Impl->goAway(); });
+}
+
+void platform_stand_in::returnFromCopy(
+    const std::function<void()> &BeforeFirstCall) {
+  Impl->onLoop([this] { return Impl->returnFromCopy(); });
+  if (BeforeFirstCall)
+    BeforeFirstCall();
+  returnWithAll();
+}
+
+void platform_stand_in::returnWithAll() {
+  Impl->onLoop([this] {
+    Impl->openStore();
+    return 0;
   });
 }
 
@@ -506,4 +628,8 @@
   return Impl->onLoop([&] { return Impl->Targets.at(Id)->Arrivals; });
 }
 
+int platform_stand_in::callerRequestsAt(const std::string &Id) const {
+  return Impl->onLoop([&] { return Impl->Targets.at(Id)->CallerRequests; });
+}
+
 } // namespace test_support
--- a/tests/support/platform_stand_in.hpp
+++ b/tests/support/platform_stand_in.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -47,6 +48,25 @@
   /// \brief Value of an item; empty if there is none.
   std::string valueOf(const std::string &Key) const;
 
+  /// \brief Lease of an item; 0 if it has none.
+  std::uint64_t leaseOf(const std::string &Key) const;
+  std::uint64_t revision() const;
+
+  /// \brief Copies the content of the store, for returnFromCopy().
+  void takeCopy();
+
+  /// \brief Closes all connections of the store; until its return it refuses
+  /// new ones. Items can still be written.
+  void goAway();
+
+  /// \brief Ends goAway() with the content, revision and leases of the copy,
+  /// in the next era and without the changes before the copy.
+  /// \param BeforeFirstCall runs before the store accepts connections
+  void returnFromCopy(const std::function<void()> &BeforeFirstCall = {});
+
+  /// \brief Ends goAway() with nothing lost.
+  void returnWithAll();
+
   /// \brief From now on a page of a listing has at most this many items.
   void setPageSize(std::size_t ItemCount);
   void setFault(store_fault Fault);
@@ -109,6 +129,10 @@
   /// \brief Requests that have arrived at a target, refused ones included.
   int arrivalsAt(const std::string &Id) const;
 
+  /// \brief Requests of callers that have arrived at a target: all but health
+  /// checks.
+  int callerRequestsAt(const std::string &Id) const;
+
 private:
   struct impl;
   std::unique_ptr<impl> Impl;
