Test the exchange of states between entries after a return of the store

A second test with random orders requires that a return is not seen by callers until the writers have written again.

--- a/tests/unit-gateway-restored-fuzz.cpp
+++ b/tests/unit-gateway-restored-fuzz.cpp
@@ -203,8 +203,10 @@
   }
 
   /// Performs a random step.
+  /// \param MayReturn whether the store may return from a copy, and entries may
+  /// list it and skip changes
   /// \return whether no configuration version has fallen
-  bool step() {
+  bool step(bool MayReturn) {
     const std::array<std::uint64_t, 2> Before = {First.State.version(),
                                                  Second.State.version()};
     switch (below(16)) {
@@ -228,13 +230,15 @@
       Store.copy(Now);
       break;
     case 7:
-      Store.restore(below(Targets), Now);
+      if (MayReturn)
+        Store.restore(below(Targets), Now);
       break;
     case 8:
       Writers.repair(Store, below(Targets));
       break;
     case 9:
-      Store.list(anyEntry().State, below(2) == 0);
+      if (MayReturn)
+        Store.list(anyEntry().State, below(2) == 0);
       break;
     case 10:
     case 11:
@@ -253,13 +257,43 @@
            Second.State.version() >= Before[1];
   }
 
+  void updateEntries() {
+    for (entry_state *Entry : Entries)
+      Store.update(Entry->State);
+  }
+
+  void restore() { Store.restore(below(Targets), Now); }
+
+  /// Performs a random step shortly after a return of the store, in which
+  /// nothing new is decided.
+  void stepAfterReturn() {
+    switch (below(6)) {
+    case 0:
+      Writers.repair(Store, below(Targets));
+      break;
+    case 1:
+      Store.list(anyEntry().State, below(2) == 0);
+      break;
+    case 2:
+      Store.update(anyEntry().State);
+      break;
+    case 3:
+      sendState(below(2));
+      break;
+    case 4:
+      deliver();
+      break;
+    default:
+      advance(std::chrono::milliseconds(below(100)));
+    }
+  }
+
   /// Lets everybody write again, and all holds end.
   void settle() {
     while (!Messages.empty())
       deliver();
     Writers.repairAll(Store);
-    for (entry_state *Entry : Entries)
-      Store.update(Entry->State);
+    updateEntries();
     for (std::size_t From : {0U, 1U}) {
       sendState(From);
       deliver();
@@ -284,7 +318,29 @@
     return Text;
   }
 
+  /// \return the targets that an entry uses although they are withdrawn, or
+  /// does not use although they are not; empty if there are none
+  std::string misuse(std::size_t Index) const {
+    const entry_state &Entry = *Entries.at(Index);
+    std::string Text;
+    for (std::size_t Target = 0; Target < Targets; ++Target) {
+      const auto *Found =
+          Entry.Registry.find(base::target_id("t" + std::to_string(Target)));
+      const bool IsUsed =
+          Found != nullptr && Entry.Registry.acceptsRequests(*Found, Now);
+      if (IsUsed != isUsable(Target))
+        Text += (IsUsed ? " uses " : " lacks ") + std::to_string(Target);
+    }
+    return Text;
+  }
+
 private:
+  bool isUsable(std::size_t Target) const {
+    const auto Alive = Writers.Wanted.Records.find(Target);
+    return Alive != Writers.Wanted.Records.end() && !Alive->second.Draining &&
+           Writers.Wanted.Evacuated.count(Target % Domains) == 0;
+  }
+
   unsigned below(unsigned Limit) { return Random() % Limit; }
   entry_state &anyEntry() { return *Entries.at(below(2)); }
 
@@ -379,9 +435,9 @@
   for (unsigned Seed = 1; Seed <= Seeds; ++Seed) {
     scenario Scenario(Seed);
     for (unsigned Step = 0; Step < Steps; ++Step)
-      CHECK_TEXT(Scenario.step(), ("seed " + std::to_string(Seed) + " step " +
-                                   std::to_string(Step))
-                                      .c_str());
+      CHECK_TEXT(Scenario.step(true), ("seed " + std::to_string(Seed) +
+                                       " step " + std::to_string(Step))
+                                          .c_str());
     Scenario.settle();
     for (std::size_t Entry : {0U, 1U}) {
       const std::string Difference = Scenario.difference(Entry);
@@ -392,3 +448,30 @@
     }
   }
 }
+
+// Guards against callers that notice a return of the store: requests to a
+// target that is known to be withdrawn, and none to one that is known to be
+// ready, until the writers have written again.
+TEST(gateway_restored_fuzz, EntriesKeepWhatTheyKnowUntilItIsWrittenAgain) {
+  static constexpr unsigned Seeds = 1000;
+  static constexpr unsigned StepsBefore = 30;
+  static constexpr unsigned StepsAfter = 15;
+  for (unsigned Seed = 1; Seed <= Seeds; ++Seed) {
+    scenario Scenario(Seed);
+    for (unsigned Step = 0; Step < StepsBefore; ++Step)
+      Scenario.step(false);
+    Scenario.updateEntries();
+    for (unsigned Step = 0; Step < StepsAfter; ++Step) {
+      if (Step % 8 == 0)
+        Scenario.restore();
+      Scenario.stepAfterReturn();
+      for (std::size_t Entry : {0U, 1U}) {
+        const std::string Misuse = Scenario.misuse(Entry);
+        CHECK_TEXT(Misuse.empty(), ("seed " + std::to_string(Seed) + " step " +
+                                    std::to_string(Step) + " entry " +
+                                    std::to_string(Entry) + Misuse)
+                                       .c_str());
+      }
+    }
+  }
+}
