Remember a removal that the store tells once more in a new era

Callers could be sent to a target that had gone: it was removed, a return of the store showed it again, its removal was told in the new era, and a second return came from the older copy. The event made the guard forget the withdrawal, and the registry no longer knew the target, so that none was noted.

An event that removes a target now ends only what is held back.

--- a/src/gateway/detail/restore_guard.cpp
+++ b/src/gateway/detail/restore_guard.cpp
@@ -80,7 +80,9 @@
 void restore_guard::release(const routing::store_change &Change) {
   const item_key Key = keyOf(Change);
   Held.erase(Key);
-  Withdrawals.erase(Key);
+  // The registry may no longer know which incarnation was removed.
+  if (!std::holds_alternative<routing::target_removed>(Change))
+    Withdrawals.erase(Key);
 }
 
 std::vector<routing::store_change> restore_guard::takeDue(base::boot_time Now) {
--- a/src/gateway/detail/restore_guard.hpp
+++ b/src/gateway/detail/restore_guard.hpp
@@ -62,8 +62,9 @@
   /// \brief Holds a change back, in place of an earlier one of the same item.
   void hold(const routing::store_change &Change, base::boot_time DueAt);
 
-  /// \brief Forgets what is held back of the item that a change concerns, and
-  /// that it was withdrawn: the change is newer.
+  /// \brief Forgets what is held back of the item that a change concerns: the
+  /// change is newer. Unless it removes a target, an earlier withdrawal is
+  /// forgotten as well.
   void release(const routing::store_change &Change);
 
   /// \brief Forgets all that is held back.
--- a/tests/unit-gateway-restored.cpp
+++ b/tests/unit-gateway-restored.cpp
@@ -350,6 +350,17 @@
   CHECK(Own.isEvacuated());
 }
 
+// Guards against a removal that is forgotten because it is told once more, in
+// the new era: a second return may show an older copy.
+TEST(gateway_restored, ARemovalThatIsToldAgainIsRemembered) {
+  Own.apply(removal("b"), {1, 390});
+  advance(1s);
+  Own.list({configuration("7"), record("a"), record("b")}, Restored);
+  Own.apply(removal("b"), {2, 321});
+  Own.list({configuration("7"), record("a"), record("b")}, {3, 310});
+  CHECK(!Own.acceptsRequests("b"));
+}
+
 // Guards against a second return that makes the first one forgotten.
 TEST(gateway_restored, TwoReturnsInARowHoldUntilTheSecondHoldEnds) {
   Own.apply(removal("b"), {1, 390});
@@ -503,6 +514,20 @@
   CHECK(!Own.acceptsRequests("b"));
 }
 
+// Guards against an entry that takes over what another one holds back, and
+// believes its own listing of the same era.
+TEST(gateway_restored, AHeldTargetInAStateIsHeldBackInALaterListing) {
+  const std::vector<routing::store_change> Copy = {configuration("7"),
+                                                   record("a"), record("b")};
+  for (entry_state *Entry : {&Other, &Own})
+    Entry->apply(removal("b"), {1, 390});
+  Other.list(Copy, Restored);
+  CHECK(Own.State.adoptState(
+      Other.State.encodeStateAfter(Own.State.confirmedVersion(), 7)));
+  Own.list(Copy, {2, 325});
+  CHECK(!Own.acceptsRequests("b"));
+}
+
 // Guards against an entry that forgets a removal because it has heard of it
 // with a complete state.
 TEST(gateway_restored, ARemovalInAStateIsRemembered) {
