Keep the era of a withdrawal that comes with a held target

An entry that adopts the state of another one in a new era, and then lists the store in that era, used a target that the other one holds back: the state contains the removed target until its last request has ended, and the removal was noted as one of the new era, after which a listing is believed.

A withdrawal that is known already keeps its era.

--- a/src/gateway/detail/steering_state.cpp
+++ b/src/gateway/detail/steering_state.cpp
@@ -572,8 +572,12 @@
   for (const encoded_target &Encoded : Snapshot.Targets) {
     if (!Encoded.RemovedIn)
       continue;
-    // A target that may register again is not known to be withdrawn.
-    if (*Encoded.RemovedIn == milliseconds(0))
+    // A target that may register again is not known to be withdrawn, and one
+    // that was withdrawn in an earlier era may still be listed in this one.
+    const bool IsKnown =
+        Guard.isWithdrawn(routing::target_published{Encoded.Target},
+                          Snapshot.ConfirmedVersion.Era, Now);
+    if (*Encoded.RemovedIn == milliseconds(0) && !IsKnown)
       removeTarget(Encoded.Target.Id, Now);
     else
       TargetRegistry.remove(Encoded.Target.Id, Now + *Encoded.RemovedIn);
