Log each registration in the store with its era

The log showed a return and the listing after it, but not whether the entry was registered again. The line has no event number yet.

--- a/tests/unit-platform-store-feed.cpp
+++ b/tests/unit-platform-store-feed.cpp
@@ -640,15 +640,20 @@
 // Guards against a return that operators cannot see in the log, or see twice.
 TEST(platform_store_feed, AReturnIsLoggedOnceWithTheVersionOfBefore) {
   log_lines Listed{"StoreListed"};
+  log_lines Registered{"registered in the store"};
+  awaitRegistrations(1);
   awaitWatchAfter(50);
   restore(2, 45);
   Store.answerHeld(410, json::object());
   awaitWatchAfter(45);
-  awaitRegistrations(1);
+  awaitRegistrations(2);
   CHECK_EQUAL(1, Restored.Lines.size());
   STRCMP_CONTAINS("era=2 before=1 revision=50", Restored.Lines.at(0).c_str());
   CHECK_EQUAL(2, Listed.Lines.size());
   STRCMP_CONTAINS("2.45", Listed.Lines.at(1).c_str());
+  CHECK_EQUAL(2, Registered.Lines.size());
+  STRCMP_CONTAINS("era=1", Registered.Lines.at(0).c_str());
+  STRCMP_CONTAINS("era=2", Registered.Lines.at(1).c_str());
 }
 
 // Guards against a line that states the revision of the new era as that of
