Believe the word of an entry that knows no more only as far as that goes

Found by the review, each shown by a test that failed before: - An entry that had adopted a state and then listed the store forgot what it had been told to hold back, and used a target that had left. A state now says for how long listings may show a copy. - Entries that start at the same time took each other's state, which rested on a listing alone, and asked nobody who knew more. A state and a heartbeat now say so. - An entry dropped targets at once on the word of one that had never known them.

--- a/include/skylarkdyke/base/event.hpp
+++ b/include/skylarkdyke/base/event.hpp
@@ -41,6 +41,7 @@
   StoreRestored = 316,
   StateRestored = 317,
   HeldChangeApplied = 318,
+  RegistrationWritten = 319,
   // 400: mesh between entries
   MeshStarted = 400,
   MeshStopped = 401,
--- a/include/skylarkdyke/membership/messages.hpp
+++ b/include/skylarkdyke/membership/messages.hpp
@@ -53,6 +53,9 @@
   bool Leaving = false;
   /// False while the entry watches the store and its calls fail.
   bool StoreReachable = true;
+  /// The entry has its state from a listing of the store, which may be a copy,
+  /// and from no entry that knows more.
+  bool StateFromListing = false;
   /// Store version of the latest change that the entry has applied.
   base::store_version ChangeVersion;
   /// Version of the configuration in force there; zero if there is none.
--- a/src/gateway/detail/mesh_link.cpp
+++ b/src/gateway/detail/mesh_link.cpp
@@ -28,6 +28,9 @@
 static constexpr milliseconds SecondFetchDelay{300};
 static constexpr milliseconds SecondSnapshotDelay{800};
 static constexpr std::size_t MaxRunningFetches = 2;
+/// Time between two requests for a state that is not newer than the own one,
+/// see steering_state::needsPeerState().
+static constexpr milliseconds PeerStateFetchPeriod{1000};
 static constexpr std::size_t MaxMeshConnections = 256;
 /// Maximum size of changes that are published in a datagram. Larger ones are
 /// fetched.
@@ -347,8 +350,11 @@
     // Only relays tell their version to all; an entry without a state, or with
     // one that rests on a listing alone, also takes that of any other that is
     // ready.
+    const bool KnowsMore = State.needsPeerState() &&
+                           !Member->Status.StateFromListing &&
+                           Now >= NextPeerStateFetchAt;
     const bool HasState =
-        Member->Status.Ready && (!State.isComplete() || State.needsPeerState());
+        Member->Status.Ready && (!State.isComplete() || KnowsMore);
     if (Member->Status.ChangeVersion > State.confirmedVersion() || HasState ||
         State.lacksConfiguration(Member->Status.ConfigurationVersion))
       Ahead.push_back(Member);
@@ -422,12 +428,13 @@
   const auto Channel = net::http_channel::create(Loop, From, Memory);
   Fetches.push_back({From, Now, Channel});
   const bool WantsAll = !State.isComplete() || State.needsPeerState();
+  NextPeerStateFetchAt = Now + PeerStateFetchPeriod;
   const base::store_version After =
       WantsAll ? base::store_version() : State.confirmedVersion();
   net::http_request Request(bhttp::verb::get,
                             StatePath + base::toString(After) +
                                 ConfigurationField +
-                                std::to_string(State.version()),
+                                std::to_string(State.newestExaminedVersion()),
                             11);
   Request.set(bhttp::field::host, base::toString(From));
   Request.set(bhttp::field::connection, "close");
--- a/src/gateway/detail/mesh_link.hpp
+++ b/src/gateway/detail/mesh_link.hpp
@@ -122,6 +122,7 @@
   /// has.
   base::boot_time BehindSince{};
   base::boot_time NextDigestAt{};
+  base::boot_time NextPeerStateFetchAt{};
   /// Version up to which changes were published to the failure domain.
   base::store_version PublishedVersion;
   /// Latest encoded complete state, so that many entries that start at the same
--- a/src/gateway/detail/restore_guard.cpp
+++ b/src/gateway/detail/restore_guard.cpp
@@ -47,7 +47,17 @@
                                          return Left.second.At <
                                                 Right.second.At;
                                        }));
-  Withdrawals[std::move(Key)] = Withdrawal;
+  const auto [It, IsNew] = Withdrawals.try_emplace(std::move(Key), Withdrawal);
+  withdrawal &Known = It->second;
+  Known.At = Withdrawal.At;
+  if (IsNew || Withdrawal.StartedAtMs < Known.StartedAtMs)
+    return;
+  // A withdrawal that is told once more stays one of the earlier era: the store
+  // may still list the item.
+  Known.Era = Withdrawal.StartedAtMs > Known.StartedAtMs
+                  ? Withdrawal.Era
+                  : std::min(Known.Era, Withdrawal.Era);
+  Known.StartedAtMs = Withdrawal.StartedAtMs;
 }
 
 void restore_guard::noteRemoved(const placement::target_incarnation &Target,
--- a/src/gateway/detail/state_codec.cpp
+++ b/src/gateway/detail/state_codec.cpp
@@ -180,11 +180,12 @@
   json Held = json::array();
   for (const encoded_change &Change : Snapshot.HeldChanges)
     Held.push_back({changeToJson(Change), Change.EffectiveIn.count()});
-  return toCbor(
-      {SnapshotKind, Snapshot.ConfirmedVersion.Revision,
-       Snapshot.ChangeVersion.Revision, Snapshot.Document, Targets, Evacuated,
-       ageToJson(Snapshot.Age), leavingToJson(Snapshot.LeavingTargets),
-       toJson(Snapshot.Crashes), Snapshot.ConfirmedVersion.Era, Held});
+  return toCbor({SnapshotKind, Snapshot.ConfirmedVersion.Revision,
+                 Snapshot.ChangeVersion.Revision, Snapshot.Document, Targets,
+                 Evacuated, ageToJson(Snapshot.Age),
+                 leavingToJson(Snapshot.LeavingTargets),
+                 toJson(Snapshot.Crashes), Snapshot.ConfirmedVersion.Era, Held,
+                 Snapshot.RestoredFor.count(), Snapshot.PeerStateFor.count()});
 }
 
 std::string encode(const state_changes &Changes) {
@@ -298,6 +299,10 @@
         Held->EffectiveIn = timeFromJson(Fields.at(1));
         Snapshot.HeldChanges.push_back(std::move(*Held));
       }
+  if (Message.size() > 12) {
+    Snapshot.RestoredFor = timeFromJson(Message.at(11));
+    Snapshot.PeerStateFor = timeFromJson(Message.at(12));
+  }
   return Snapshot;
 }
 
--- a/src/gateway/detail/state_codec.hpp
+++ b/src/gateway/detail/state_codec.hpp
@@ -55,6 +55,12 @@
   /// What the store shows and the entry does not believe yet, without
   /// revisions.
   std::vector<encoded_change> HeldChanges;
+  /// Time for which listings of the store may show a copy that is older than
+  /// what the sender knows.
+  std::chrono::milliseconds RestoredFor{0};
+  /// Time for which the sender looks for the state of an entry that knows more,
+  /// because its own rests on a listing of the store alone.
+  std::chrono::milliseconds PeerStateFor{0};
 };
 
 /// \brief All changes after one version, up to another of the same era.
--- a/src/gateway/detail/steering_state.cpp
+++ b/src/gateway/detail/steering_state.cpp
@@ -97,7 +97,12 @@
                                         placement::incarnationOf(Update.Target);
             if (IsRestarted)
               reportEnd(Update.Target.Id);
-            if (!TargetRegistry.upsert(Update.Target, Now))
+            routing::target Target = Update.Target;
+            // A target that drains never gets ready again, but a copy of the
+            // store and late writes may say so.
+            if (mayShowCopy() && Known != nullptr && !IsRestarted)
+              Target.Draining = Target.Draining || Known->Target.Draining;
+            if (!TargetRegistry.upsert(Target, Now))
               LOG(WARNING) << "target " << Update.Target.Id.str()
                            << " is in an unknown failure domain";
           },
@@ -145,8 +150,11 @@
   replaceItems(Items, {AsOf.Era, NewestRevision}, AsOf, listing_source::Store);
   Freshness.confirm(Clock());
   // A store that states no era never comes back from a copy.
-  if (IsFirst && AsOf.Era != 0)
+  if (IsFirst && AsOf.Era != 0) {
     PeerStateUntil = Clock() + PeerStateTime;
+    // The pages are no snapshot.
+    PeerStateFrom = std::max(AsOf, {AsOf.Era, NewestRevision});
+  }
 }
 
 /// Removes a target and remembers it: a copy of the store may show it again.
@@ -170,7 +178,8 @@
 
 /// Notes that the store has come back from a copy since the known version.
 void steering_state::beginEra(const base::store_version &AsOf) {
-  if (AsOf.Era <= ConfirmedVersion.Era || ConfirmedVersion.Revision == 0)
+  if (AsOf.Era <= ConfirmedVersion.Era || ConfirmedVersion.Era == 0 ||
+      ConfirmedVersion.Revision == 0)
     return;
   const auto Now = Clock();
   RestoredUntil = Now + restore_guard::HoldTime;
@@ -200,7 +209,7 @@
   return true;
 }
 
-bool steering_state::applyListedTarget(routing::target Target,
+bool steering_state::applyListedTarget(const routing::target &Target,
                                        std::uint64_t Era) {
   const auto *Known = TargetRegistry.find(Target.Id);
   if (mayShowCopy() && Known != nullptr) {
@@ -209,10 +218,6 @@
       Guard.hold(routing::target_published{Target}, RestoredUntil);
       return false;
     }
-    // A target that drains never gets ready again.
-    if (!(placement::incarnationOf(Known->Target) !=
-          placement::incarnationOf(Target)))
-      Target.Draining = Target.Draining || Known->Target.Draining;
   }
   applyChange(routing::target_published{Target});
   return true;
@@ -260,10 +265,11 @@
   beginEra(AsOf);
   ConfirmedVersion = AsOf;
   Log.restartAfter(AsOf);
-  // Targets that a copy lacks register again. Another entry has waited for
-  // them.
+  // Targets that a copy lacks register again. Within an era another entry has
+  // waited for them.
   const base::boot_time RemovedAt =
-      mayShowCopy() && Source == listing_source::Store
+      mayShowCopy() &&
+              (Source == listing_source::Store || AsOf.Era > Before.Era)
           ? std::max(removalTime(), Clock() + RecordRecoveryTime)
           : removalTime();
   // Other entries hold the same back, and may have to drop it.
@@ -287,7 +293,7 @@
   // it.
   ChangeVersion = std::max(
       {ChangeVersion, Newest, HasRemovals ? AsOf : base::store_version()});
-  if (AsOf.Era > Before.Era && Before.Revision != 0)
+  if (AsOf.Era > Before.Era && Before.Era != 0 && Before.Revision != 0)
     SKYLARKDYKE_LOG(WARNING, StateRestored)
         << "version=" << base::toString(AsOf)
         << " before=" << base::toString(Before) << " config=" << version()
@@ -454,6 +460,11 @@
     Snapshot.LeavingTargets.push_back(toEncoded(Notice, Now));
   if (Crashes != nullptr)
     Snapshot.Crashes = Crashes->snapshot();
+  const auto Remaining = [Now](base::boot_time Until) {
+    return std::chrono::duration_cast<milliseconds>(std::max(Until, Now) - Now);
+  };
+  Snapshot.RestoredFor = Remaining(RestoredUntil);
+  Snapshot.PeerStateFor = Remaining(PeerStateUntil);
   for (const held_change &Held : Guard.held())
     Snapshot.HeldChanges.push_back({{0, Held.Change},
                                     std::chrono::duration_cast<milliseconds>(
@@ -527,7 +538,8 @@
     adopt(Snapshot);
     return true;
   }
-  if (needsPeerState() && Log.covers(Snapshot.ConfirmedVersion)) {
+  if (needsPeerState() && Snapshot.ConfirmedVersion >= PeerStateFrom &&
+      Log.covers(Snapshot.ConfirmedVersion)) {
     adoptBehindListing(Snapshot);
     return true;
   }
@@ -569,12 +581,16 @@
   }
   for (const base::domain_name &Domain : Snapshot.EvacuatedDomains)
     Items.emplace_back(routing::evacuation_started{Domain});
+  const bool MustAskOthers = ConfirmedVersion.Revision == 0 || needsPeerState();
+  RestoredUntil = std::max(RestoredUntil, Now + Snapshot.RestoredFor);
   adoptHeld(Snapshot);
   replaceItems(Items, Snapshot.ChangeVersion, Snapshot.ConfirmedVersion,
                listing_source::Entry);
   for (const encoded_change &Held : Snapshot.HeldChanges)
     Guard.hold(Held.Recorded.Change, Now + Held.EffectiveIn);
-  PeerStateUntil = {};
+  // A state that rests on a listing alone knows no more than the own one.
+  PeerStateUntil = MustAskOthers ? Now + Snapshot.PeerStateFor : Now;
+  PeerStateFrom = Snapshot.ConfirmedVersion;
   confirmAt(Snapshot.Age);
   for (const encoded_target &Encoded : Snapshot.Targets) {
     if (!Encoded.RemovedIn)
--- a/src/gateway/detail/steering_state.hpp
+++ b/src/gateway/detail/steering_state.hpp
@@ -175,7 +175,11 @@
   /// \brief Returns whether a configuration would replace the one in force, as
   /// far as is known.
   bool lacksConfiguration(std::uint64_t Version) const {
-    return Version > std::max(version(), RefusedVersion);
+    return Version > newestExaminedVersion();
+  }
+  /// \return newest configuration version that was installed or refused
+  std::uint64_t newestExaminedVersion() const {
+    return std::max(version(), RefusedVersion);
   }
 
   /// \brief Returns whether the state rests on a listing of the store alone. It
@@ -207,7 +211,7 @@
   void beginEra(const base::store_version &AsOf);
   bool mayShowCopy() const { return Clock() < RestoredUntil; }
   bool applyListed(const routing::store_change &Item, std::uint64_t Era);
-  bool applyListedTarget(routing::target Target, std::uint64_t Era);
+  bool applyListedTarget(const routing::target &Target, std::uint64_t Era);
   bool endUnlistedEvacuations(const std::set<base::domain_name> &Listed);
   bool removeUnlistedTargets(const std::set<base::target_id> &Listed,
                              base::boot_time At);
@@ -250,6 +254,8 @@
   /// Time until which the state of another entry is taken over although it is
   /// not newer, see needsPeerState().
   base::boot_time PeerStateUntil{};
+  /// Least version of such a state.
+  base::store_version PeerStateFrom;
   /// Newest configuration version that was refused.
   std::uint64_t RefusedVersion = 0;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -295,6 +295,7 @@
   Status.Ready = isReady();
   Status.Leaving = Stopping;
   Status.StoreReachable = !Watching || !State.isStoreDown();
+  Status.StateFromListing = State.needsPeerState();
   Status.ChangeVersion = State.changeVersion();
   Status.ConfigurationVersion = State.version();
   Status.StateAge = State.reportedAge(Now);
--- a/src/membership/messages.cpp
+++ b/src/membership/messages.cpp
@@ -28,16 +28,19 @@
 static constexpr unsigned ReadyFlag = 1;
 static constexpr unsigned LeavingFlag = 2;
 static constexpr unsigned StoreReachableFlag = 4;
+static constexpr unsigned StateFromListingFlag = 8;
 
 static unsigned flagsOf(const entry_status &Status) {
   return (Status.Ready ? ReadyFlag : 0) | (Status.Leaving ? LeavingFlag : 0) |
-         (Status.StoreReachable ? StoreReachableFlag : 0);
+         (Status.StoreReachable ? StoreReachableFlag : 0) |
+         (Status.StateFromListing ? StateFromListingFlag : 0);
 }
 
 static void setFlags(entry_status &Status, unsigned Flags) {
   Status.Ready = (Flags & ReadyFlag) != 0;
   Status.Leaving = (Flags & LeavingFlag) != 0;
   Status.StoreReachable = (Flags & StoreReachableFlag) != 0;
+  Status.StateFromListing = (Flags & StateFromListingFlag) != 0;
 }
 
 static base::endpoint toEndpoint(const json &Text) {
--- a/tests/unit-gateway-restored.cpp
+++ b/tests/unit-gateway-restored.cpp
@@ -597,3 +597,123 @@
   LONGS_EQUAL(9, Own.State.newestVersion());
   CHECK(Own.State.mayBeOutdated(Now));
 }
+
+namespace {
+
+const std::vector<routing::store_change> Copy = {
+    configuration("7"), record("a"), record("b"), record("c")};
+
+} // namespace
+
+TEST_GROUP(gateway_restored_newcomer) {
+  base::boot_time Now{1h};
+  /// Starts with nothing.
+  entry_state Newcomer{Now};
+  /// Knows of a removal and of a drain that the copy lacks.
+  entry_state Other{Now};
+
+  void setup() override {
+    Other.list(Copy, Known);
+    Other.apply(removal("b"), {1, 390});
+    Other.apply(record("c", 1000, true), {1, 391});
+    Other.Targets.sweep(Now);
+    Other.list(Copy, Restored);
+  }
+};
+
+// Guards against a listing that makes an entry forget what it was told to hold
+// back.
+TEST(gateway_restored_newcomer,
+     AListingAfterAnAdoptedStateKeepsWhatIsHeldBack) {
+  CHECK(Newcomer.State.adoptState(Other.State.encodeSnapshot()));
+  CHECK(!Newcomer.acceptsRequests("b"));
+  Newcomer.list(Copy, {2, 325});
+  CHECK(!Newcomer.acceptsRequests("b"));
+}
+
+// Guards against a listing that makes an entry forget that a target drains.
+TEST(gateway_restored_newcomer, AListingAfterAnAdoptedStateKeepsADrain) {
+  CHECK(Newcomer.State.adoptState(Other.State.encodeSnapshot()));
+  CHECK(!Newcomer.acceptsRequests("c"));
+  Newcomer.list(Copy, {2, 325});
+  CHECK(!Newcomer.acceptsRequests("c"));
+}
+
+// Guards against entries that start at the same time and ask only each other.
+TEST(gateway_restored_newcomer, AStateThatRestsOnAListingAloneIsNotEnough) {
+  entry_state Started{Now};
+  Started.list(Copy, Restored);
+  Newcomer.list(Copy, Restored);
+  CHECK(Newcomer.State.adoptState(Started.State.encodeSnapshot()));
+  CHECK(Newcomer.State.needsPeerState());
+  entry_state Empty{Now};
+  CHECK(Empty.State.adoptState(Started.State.encodeSnapshot()));
+  CHECK(Empty.State.needsPeerState());
+  Now += 5s;
+  CHECK(!Empty.State.needsPeerState());
+}
+
+// Guards against targets that are dropped at once on the word of an entry that
+// has never known them.
+TEST(gateway_restored_newcomer,
+     ATargetThatANewEntryDoesNotKnowIsUsedForAWhile) {
+  entry_state Old{Now};
+  Old.list({configuration("7"), record("a"), record("d")}, Known);
+  Newcomer.list({configuration("7"), record("a")}, Restored);
+  CHECK(Old.State.adoptState(Newcomer.State.encodeSnapshot()));
+  CHECK(Old.acceptsRequests("d"));
+  Now += RecordRecoveryTime;
+  CHECK(!Old.acceptsRequests("d"));
+}
+
+// Guards against a late write that takes back a drain.
+TEST(gateway_restored_newcomer, AnEventDoesNotEndADrain) {
+  Other.apply(record("c"), {2, 322});
+  CHECK(!Other.acceptsRequests("c"));
+}
+
+// Guards against changes that are held back because the store has begun to
+// state its era.
+TEST(gateway_restored_newcomer, AFirstEraIsNoReturn) {
+  entry_state Old{Now};
+  Old.list(
+      {configuration("7"), record("a"), routing::evacuation_started{Domain}},
+      {0, 384});
+  Old.list({configuration("7"), record("a")}, {1, 385});
+  CHECK(!Old.isEvacuated());
+}
+
+// Guards against a withdrawal of a later incarnation that is forgotten because
+// another entry holds an earlier one back.
+TEST(gateway_restored_newcomer, AHeldIncarnationDoesNotHideALaterWithdrawal) {
+  const std::vector<routing::store_change> Earlier = {
+      configuration("7"), record("a"), record("b", 500)};
+  entry_state First{Now};
+  entry_state Second{Now};
+  for (entry_state *Entry : {&First, &Second}) {
+    Entry->list(Copy, Known);
+    Entry->apply(removal("b"), {1, 390});
+  }
+  First.Targets.sweep(Now);
+  Second.list(Earlier, Restored);
+  First.State.adoptState(Second.State.encodeSnapshot());
+  First.list(Earlier, Restored);
+  CHECK(!First.acceptsRequests("b"));
+}
+
+// Guards against an evacuation of the new era that waits for the end of the
+// hold.
+TEST(gateway_restored_newcomer,
+     AnEvacuationThatIsFirstSeenInAListingIsInForce) {
+  entry_state Old{Now};
+  Old.list(Copy, Known);
+  Old.apply(routing::evacuation_started{Domain}, {1, 386});
+  Old.apply(routing::evacuation_ended{Domain}, {1, 390});
+  Now += 30s;
+  Old.list(
+      {configuration("7"), record("a"), routing::evacuation_started{Domain}},
+      {2, 321});
+  Now += 5s;
+  Old.State.applyHeld();
+  CHECK(Old.isEvacuated());
+}
