--- a/src/gateway/detail/restore_guard.hpp
+++ b/src/gateway/detail/restore_guard.hpp
@@ -36,6 +36,9 @@
   /// Time after which the store is believed. The record of a target that is
   /// gone expires in the store well before.
   static constexpr std::chrono::seconds HoldTime{10};
+  /// The same for an evacuation that was ended and is listed again: it may have
+  /// been started anew, and must then be in force within seconds.
+  static constexpr std::chrono::seconds EvacuationHoldTime{3};
   /// Time for which a withdrawal is remembered. A copy is some seconds old.
   static constexpr std::chrono::seconds WithdrawalRetention{60};
   /// Maximum number of withdrawals that are remembered.
--- a/src/gateway/detail/steering_state.cpp
+++ b/src/gateway/detail/steering_state.cpp
@@ -188,13 +188,23 @@
     Crashes->onStoreRestored();
 }
 
+/// Returns the time from which the store is believed that an item exists.
+base::boot_time
+steering_state::holdEndOf(const routing::store_change &Item) const {
+  const auto Earlier =
+      restore_guard::HoldTime - restore_guard::EvacuationHoldTime;
+  return std::holds_alternative<routing::evacuation_started>(Item)
+             ? RestoredUntil - Earlier
+             : RestoredUntil;
+}
+
 /// Applies an item of a listing, or of the state of another entry, unless it
 /// contradicts what is known from an earlier era.
 /// \return whether the item is believed
 bool steering_state::applyListed(const routing::store_change &Item,
                                  std::uint64_t Era) {
   if (mayShowCopy() && Guard.isWithdrawn(Item, Era, Clock())) {
-    Guard.hold(Item, RestoredUntil);
+    Guard.hold(Item, holdEndOf(Item));
     return false;
   }
   Guard.release(Item);
--- a/src/gateway/detail/steering_state.hpp
+++ b/src/gateway/detail/steering_state.hpp
@@ -210,6 +210,7 @@
   bool joinEra(std::uint64_t Era);
   void beginEra(const base::store_version &AsOf);
   bool mayShowCopy() const { return Clock() < RestoredUntil; }
+  base::boot_time holdEndOf(const routing::store_change &Item) const;
   bool applyListed(const routing::store_change &Item, std::uint64_t Era);
   bool applyListedTarget(const routing::target &Target, std::uint64_t Era);
   bool endUnlistedEvacuations(const std::set<base::domain_name> &Listed);
