Log sends to cold targets, and late news of a cold time

An operator who sees a cold target flooded cannot tell from the logs who sent because of which part of the rate, or before the entry knew: only one in 64 requests that succeed is logged.

ColdSend names each send to a cold target with the part of its rate that the entry has, whether it is the first one, and how long the target stays cold; skylarkdyke_cold_sends_total counts them by service. ColdNewsLate names an entry that has sent within the second before the store tells it of the cold time. Together they distinguish a minimum beside the parts (many entries with a small part), first uses, entries of other regions, and late news. No decision changes.

--- a/include/skylarkdyke/base/event.hpp
+++ b/include/skylarkdyke/base/event.hpp
@@ -76,6 +76,8 @@
   BlockEnded = 514,
   BlockedRequestRefused = 515,
   TargetCold = 516,
+  ColdSend = 517,
+  ColdNewsLate = 518,
   ObjectsMoved = 540,
 
   // 600: operators
--- a/include/skylarkdyke/placement/placer.hpp
+++ b/include/skylarkdyke/placement/placer.hpp
@@ -127,6 +127,13 @@
     ColdRateShare = std::move(Share);
   }
   const cold_rate_share &coldRateShares() const { return ColdRateShare; }
+  /// \return part of the rate of a cold target that this entry has, from 0 to 1
+  double partOfColdRate(const target_state &State,
+                        const routing::service &Service) const;
+  /// \return whether a target is in the region of this entry
+  bool isInOwnRegion(const target_state &State) const {
+    return State.Region == OwnRegion;
+  }
 
   /// \brief Sets the demand: requests per second from the callers of each
   /// region.
@@ -195,8 +202,6 @@
              base::boot_time Now) const;
   void scheduleColdSends(target_state &State, const routing::service &Service,
                          base::boot_time Now) const;
-  double coldRateShare(const target_state &State,
-                       const routing::service &Service) const;
   const candidate *unusedTarget(const std::vector<candidate> &Candidates,
                                 const placement_query &Query,
                                 base::boot_time Now) const;
--- a/include/skylarkdyke/placement/target_registry.hpp
+++ b/include/skylarkdyke/placement/target_registry.hpp
@@ -103,6 +103,8 @@
   /// Interval between sends that keeps this entry's share of the rate of a cold
   /// target; 0 while the target is not cold.
   std::chrono::nanoseconds ColdInterval{0};
+  /// Time of this entry's latest send to the target.
+  base::boot_time LastSendAt{};
   base::boot_time AddedAt{};
   /// Time from which a target that joined takes over objects.
   base::boot_time TakesOverAt{};
--- a/src/gateway/detail/exchange.cpp
+++ b/src/gateway/detail/exchange.cpp
@@ -220,6 +220,7 @@
 void exchange::send(const placement::chosen_target &Chosen) {
   const auto Now = base::boot_clock::now();
   Query.TriedTargets.push_back(Chosen.Id);
+  logColdSend(Chosen, Now);
   Context.TargetRegistry.beginSend(Chosen.Id, Now);
   const std::string RequestId = requestHeader(Context.Headers.RequestId);
   // On a used connection, a late copy of an earlier response cannot be told
--- a/src/gateway/detail/exchange.hpp
+++ b/src/gateway/detail/exchange.hpp
@@ -139,6 +139,7 @@
   void logLostResponse();
   void logBrokenResponse(const std::string &Reason);
   void logRequest(unsigned Status, const char *Outcome);
+  void logColdSend(const placement::chosen_target &Chosen, base::boot_time Now);
   void logFailedAttempt(const attempt &Attempt, const std::string &Reason,
                         bool AttemptMayHaveRun);
   std::string requestHeader(const std::string &Name) const;
--- a/src/gateway/detail/exchange_log.cpp
+++ b/src/gateway/detail/exchange_log.cpp
@@ -1,5 +1,7 @@
 #include "gateway/detail/exchange.hpp"
 
+#include <algorithm>
+
 namespace skylarkdyke::gateway::detail {
 
 using std::chrono::nanoseconds;
@@ -30,6 +32,29 @@
        {"ejected", State != nullptr && State->EjectedUntil > Now}});
 }
 
+/// Logs a send to a cold target. To be called before the send is recorded.
+void exchange::logColdSend(const placement::chosen_target &Chosen,
+                           base::boot_time Now) {
+  const placement::target_state *State = Context.TargetRegistry.find(Chosen.Id);
+  if (State == nullptr || !placement::target_registry::isCold(*State, Now))
+    return;
+  Context.Metrics
+      .counter("skylarkdyke_cold_sends_total",
+               "Requests sent to cold targets, by service",
+               {{"service", Query.Service->Name.str()}})
+      .add();
+  SKYLARKDYKE_DECISION(
+      Context.Log, ColdSend, Now,
+      {{"request", requestHeader(Context.Headers.RequestId)},
+       {"target", Chosen.Id.str()},
+       {"target_started_ms", Chosen.StartedAtMs},
+       {"cold_left_ms",
+        nanoseconds(std::max(State->ColdUntil, State->MayBeColdUntil) - Now)},
+       {"first_use", !State->WasUsed},
+       {"own_region", Context.Placer.isInOwnRegion(*State)},
+       {"part", Context.Placer.partOfColdRate(*State, *Query.Service)}});
+}
+
 /// Logs a response that does not reach the caller. The exchange may have ended
 /// by then.
 void exchange::logLostResponse() {
--- a/src/gateway/detail/steering_state.cpp
+++ b/src/gateway/detail/steering_state.cpp
@@ -23,6 +23,9 @@
 /// By how much less time an entry passes on that a target may be cold, so that
 /// late messages do not prolong it.
 static constexpr milliseconds PassOnTime{500};
+/// Time before the news of a cold target in which a send of this entry is
+/// logged: the limits of cold targets count a second.
+static constexpr milliseconds LateSendWindow{1000};
 /// Time after its first listing in which an entry takes over the state of
 /// another one although it is not newer.
 static constexpr milliseconds PeerStateTime{5000};
@@ -102,6 +105,7 @@
             // store and late writes may say so.
             if (mayShowCopy() && Known != nullptr && !IsRestarted)
               Target.Draining = Target.Draining || Known->Target.Draining;
+            noteColdNews(Target, Now);
             if (!TargetRegistry.upsert(Target, Now))
               LOG(WARNING) << "target " << Update.Target.Id.str()
                            << " is in an unknown failure domain";
@@ -136,6 +140,23 @@
       Change);
 }
 
+/// Logs sends to a target that may have been cold already, to be called before
+/// the news is recorded.
+void steering_state::noteColdNews(const routing::target &Target,
+                                  base::boot_time Now) const {
+  const auto *Known = TargetRegistry.find(Target.Id);
+  if (Known == nullptr || Target.RemainingColdTime <= milliseconds(0) ||
+      placement::target_registry::isCold(*Known, Now) ||
+      Now - Known->LastSendAt > LateSendWindow)
+    return;
+  SKYLARKDYKE_LOG(INFO, ColdNewsLate)
+      << "target=" << Target.Id.str() << " started_ms=" << Target.StartedAtMs
+      << " sent_ago_ms="
+      << std::chrono::duration_cast<milliseconds>(Now - Known->LastSendAt)
+             .count()
+      << " cold_ms=" << Target.RemainingColdTime.count();
+}
+
 void steering_state::replaceAll(const std::vector<routing::store_change> &Items,
                                 std::uint64_t NewestRevision,
                                 const base::store_version &AsOf) {
--- a/src/gateway/detail/steering_state.hpp
+++ b/src/gateway/detail/steering_state.hpp
@@ -226,6 +226,7 @@
   void applyChange(const routing::store_change &Change);
   bool recordInRegistry(const cold_notice &Notice, base::boot_time Now);
   void adopt(const cold_update &Update);
+  void noteColdNews(const routing::target &Target, base::boot_time Now) const;
   void adoptLeaving(const std::vector<encoded_leaving> &Targets, bool PassOn);
 
   placement::target_registry &TargetRegistry;
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -224,7 +224,7 @@
   if (State == nullptr)
     return;
   // An entry without a share counts as one of many.
-  const double Share = std::max(coldRateShare(*State, Service), 1e-3);
+  const double Share = std::max(partOfColdRate(*State, Service), 1e-3);
   const std::chrono::duration<double, std::milli> Spread =
       ReturnInterval * (1 / std::min(1.0, Share) - 1);
   const auto Delay = std::min<std::chrono::duration<double, std::milli>>(
@@ -252,7 +252,7 @@
 void placer::scheduleColdSends(target_state &State,
                                const routing::service &Service,
                                base::boot_time Now) const {
-  const double Share = coldRateShare(State, Service);
+  const double Share = partOfColdRate(State, Service);
   const double Rate =
       std::max(Share * Service.ColdRequestsPerSecond, MinColdRate);
   const std::chrono::duration<double> Interval(1 / Rate);
@@ -266,8 +266,8 @@
                 Interval * entryPhase(State) * std::max(0.0, 1 - Share)));
 }
 
-double placer::coldRateShare(const target_state &State,
-                             const routing::service &Service) const {
+double placer::partOfColdRate(const target_state &State,
+                              const routing::service &Service) const {
   if (State.Region != OwnRegion)
     return ColdRateShare.RegionsWithEntries.count(State.Region) == 0
                ? ColdRateShare.ShareWithoutEntries
--- a/src/placement/target_registry.cpp
+++ b/src/placement/target_registry.cpp
@@ -260,6 +260,7 @@
     return;
   ++State->InFlight;
   State->WasUsed = true;
+  State->LastSendAt = Now;
   State->NextColdSend =
       std::max(State->NextColdSend, Now - State->ColdInterval) +
       State->ColdInterval;
