Report how the entries of a region divide a limit

A limit of a few requests a second cannot be split into a fraction for each of some hundred entries. To give each request of it to one entry, the placement needs to know who may use a part, with the weights that count. limitDivision() returns the usable weight of this entry and the weights that it reckons with for the others; in a region without full mesh entries know no weights of each other, so all have the same one.

--- a/include/skylarkdyke/membership/member_table.hpp
+++ b/include/skylarkdyke/membership/member_table.hpp
@@ -185,6 +185,12 @@
   void updateShares(bool MessagesMissed, base::boot_time Now);
   /// \return how the entries of the own region divide a limit
   const share_holders &shareHolders() const { return Holders; }
+  /// \brief Returns how the entries of the own region divide a limit whose
+  /// parts cannot be split, so that each part belongs to one entry.
+  ///
+  /// In a region without full mesh the entries do not know each other's
+  /// weights, so that all have the same one.
+  limit_division limitDivision(base::boot_time Now) const;
   /// \brief Returns the number of entries of a region that may use a part of a
   /// limit: live ones, and silent ones whose part stays reserved.
   unsigned holderCountOf(const base::region_name &Region,
@@ -213,6 +219,7 @@
   unsigned heardHolderCountOf(const base::region_name &Region,
                               base::boot_time Now) const;
   bool hasUnheardContact(base::boot_time Now) const;
+  limit_division equalDivision(base::boot_time Now) const;
   bool reportsToOtherRegions() const { return FullMesh || isRelay(); }
   std::chrono::milliseconds periodFor(const contact &Contact) const;
   std::set<base::region_name> otherRegions() const;
--- a/include/skylarkdyke/membership/share_holders.hpp
+++ b/include/skylarkdyke/membership/share_holders.hpp
@@ -26,6 +26,20 @@
 /// part.
 inline constexpr std::chrono::seconds IsolationLimit{60};
 
+/// \brief An entry of the own region that may use a part of limits.
+struct limit_holder {
+  base::endpoint MeshAddress;
+  share_weights Weights;
+};
+
+/// \brief How the entries of the own region divide a limit, as far as this
+/// entry knows.
+struct limit_division {
+  /// Weights that this entry may use; 0 while it may use nothing.
+  share_weights Own;
+  std::vector<limit_holder> Others;
+};
+
 /// \brief What an entry knows about the completeness of its view.
 struct share_view {
   /// The entries of the region hear each other directly.
@@ -93,6 +107,14 @@
   bool hasEqualPart(base::boot_time Now) const {
     return Joined && Now >= KnownEverywhereAt;
   }
+  /// \return whether this entry has agreed with no other one for so long that
+  /// it has given its part up
+  bool isIsolated() const { return Isolated; }
+  /// \return the weights that this entry may use
+  const share_weights &usableWeights() const { return Usable; }
+  /// \return the other entries that this one has heard itself or was told of,
+  /// those of silent entries included
+  std::vector<limit_holder> others(base::boot_time Now) const;
   /// \return sum of the weights of the other entries that this one has heard
   /// itself, those of silent entries included
   share_weights othersSum(base::boot_time Now) const;
@@ -116,13 +138,14 @@
   bool agrees(const holder &Holder, base::boot_time Now) const;
   bool isKnown(std::uint64_t Incarnation) const;
   bool agreesWithAll(bool FullMesh, base::boot_time Now) const;
-  bool isIsolated(bool FullMesh, base::boot_time Now);
+  bool updateIsolation(bool FullMesh, base::boot_time Now);
 
   base::endpoint OwnMesh;
   std::uint64_t OwnIncarnation = 0;
   base::boot_time StartedAt{};
   base::boot_time KnownEverywhereAt{};
   bool Joined = false;
+  bool Isolated = false;
   /// By mesh address; without this entry.
   std::map<base::endpoint, holder> Holders;
   /// Weights that this entry has published.
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -24,6 +24,8 @@
 static constexpr milliseconds UnheardContactTime{8000};
 /// Number of addresses of other entries in a heartbeat.
 static constexpr std::size_t AddressesPerSample = 2;
+/// Weights of all entries of a region without full mesh.
+static const share_weights EqualWeights{1, {}};
 
 member_table::member_table(
     base::endpoint OwnMesh, base::region_name OwnRegion,
@@ -475,4 +477,25 @@
   Holders.update({FullMesh, isRelay(), !MessagesMissed && HeardAll}, Now);
 }
 
+limit_division member_table::limitDivision(base::boot_time Now) const {
+  if (FullMesh)
+    return {Holders.usableWeights(), Holders.others(Now)};
+  return equalDivision(Now);
+}
+
+/// Returns the division of a region without full mesh: among all entries that a
+/// relay has named, and those that this entry has heard itself.
+limit_division member_table::equalDivision(base::boot_time Now) const {
+  limit_division Division;
+  if (Holders.hasEqualPart(Now) && !Holders.isIsolated())
+    Division.Own = EqualWeights;
+  for (const auto &[Address, Member] : Members)
+    if (Member.Region == OwnRegion && Now <= reservedUntil(Member))
+      Division.Others.push_back({Address, EqualWeights});
+  for (const limit_holder &Holder : Holders.others(Now))
+    if (Members.count(Holder.MeshAddress) == 0)
+      Division.Others.push_back({Holder.MeshAddress, EqualWeights});
+  return Division;
+}
+
 } // namespace skylarkdyke::membership
--- a/src/membership/share_holders.cpp
+++ b/src/membership/share_holders.cpp
@@ -185,7 +185,7 @@
 
 /// Returns whether this entry has agreed with no other one for longer than the
 /// limit.
-bool share_holders::isIsolated(bool FullMesh, base::boot_time Now) {
+bool share_holders::updateIsolation(bool FullMesh, base::boot_time Now) {
   const bool AgreesWithAny =
       FullMesh
           ? Holders.empty() || std::any_of(Holders.begin(), Holders.end(),
@@ -212,7 +212,7 @@
     return;
   // Judged before silent entries are forgotten, so that an isolated one gives
   // its part up first.
-  const bool Isolated = isIsolated(View.FullMesh, Now);
+  Isolated = updateIsolation(View.FullMesh, Now);
   for (auto It = Holders.begin(); It != Holders.end();)
     It = Now > It->second.ReservedUntil ? Holders.erase(It) : std::next(It);
   const bool Agreed = View.MayAgree && agreesWithAll(View.FullMesh, Now);
@@ -245,6 +245,14 @@
   return Sum;
 }
 
+std::vector<limit_holder> share_holders::others(base::boot_time Now) const {
+  std::vector<limit_holder> Others;
+  for (const auto &[Address, Holder] : Holders)
+    if (Now <= Holder.ReservedUntil)
+      Others.push_back({Address, Holder.Weights});
+  return Others;
+}
+
 static double fraction(double Part, double Total) {
   return Part > 0 && Total > 0 ? std::min(1.0, Part / Total) : 0;
 }
