Give each request of a cold target's rate to one entry

Cause: a limit that all entries share was divided into parts of each entry, and each entry then had a minimum of 0.1 requests a second, a random phase, and a first send that waited until it was needed. The sum of these grows with the fleet: the minimum alone is 10 a second with 100 entries. Parts by demand and default parts of entries without demand added up to more than 1 besides.

Now time is cut into slots of one request on the wall clock, and each slot of a target belongs to one entry, by rendezvous hashing among those that may use a part, weighted by demand where entries know it. A slot can be used for half a second and is lost then, so that nothing is saved up. Two entries claim a slot only if one does not know the other; clocks that differ make slots overlap, and leave their rate. An entry without a part sends nothing; if all targets of the home region are cold and have no slot now, warm targets of other regions are used, and otherwise the caller is refused at once with the time of the next slot. A target that turns cold in use rests for a second, in which the sends of entries that did not know of it yet count.

The shares in the tests of the placer are replaced by the entries that the division names, with the same bounds.

--- a/include/skylarkdyke/placement/placer.hpp
+++ b/include/skylarkdyke/placement/placer.hpp
@@ -5,6 +5,7 @@
 #include "skylarkdyke/placement/move_counter.hpp"
 #include "skylarkdyke/placement/processing_time_model.hpp"
 #include "skylarkdyke/placement/region_shares.hpp"
+#include "skylarkdyke/placement/send_slots.hpp"
 #include "skylarkdyke/placement/target_registry.hpp"
 
 #include <chrono>
@@ -62,8 +63,8 @@
   Paused,
   /// The best target is full or would answer too late.
   NoRoom,
-  /// The targets are cold, and this entry's share of the request rate that they
-  /// tolerate is currently exhausted.
+  /// The targets are cold, and the request rate that they tolerate is currently
+  /// left to other entries.
   ColdLimit,
 };
 
@@ -77,33 +78,6 @@
 /// \brief Result of the choice of a target.
 using placement_result = std::variant<chosen_target, no_target>;
 
-/// \brief This entry's share of the request rates that cold targets tolerate.
-///
-/// The entries of a target's region divide its rate in proportion to their
-/// demand, so that together they stay within the rate without coordination on
-/// each request.
-struct cold_rate_share {
-  /// This entry's share of its region's demand, by service; from 0 to 1.
-  std::map<std::string, double> DemandShare;
-  /// Share for services without a known demand.
-  double DefaultShare = 1;
-  /// Regions that have entries of their own. Entries of other regions send to
-  /// cold targets there only at a minimal rate.
-  std::set<base::region_name> RegionsWithEntries;
-  /// Share of the rate of cold targets in regions without entries.
-  double ShareWithoutEntries = 1;
-  /// Differs between entries, so that their first sends are spread over time.
-  std::uint64_t EntrySeed = 0;
-};
-
-/// \brief Bounds new shares by the previous ones.
-///
-/// After a pause of the process the other entries seem to be dead, although
-/// they have gone on to use their shares: until their heartbeats are heard
-/// again, this entry must not use more than before.
-cold_rate_share limitToPrevious(cold_rate_share Next,
-                                const cold_rate_share &Previous);
-
 /// \brief Chooses the target with the earliest expected completion time, plus
 /// the cost to other requests if the target is probably not warm.
 ///
@@ -122,11 +96,10 @@
   placer(target_registry &Registry, base::region_name OwnRegion);
   ~placer();
 
-  /// \brief Replaces this entry's share of the rates of cold targets.
-  void setColdRateShare(cold_rate_share Share) {
-    ColdRateShare = std::move(Share);
-  }
-  const cold_rate_share &coldRateShares() const { return ColdRateShare; }
+  /// \brief Replaces what this entry knows of the division of the rates of cold
+  /// targets.
+  void setRateDivision(rate_division Next);
+  const rate_division &rateDivision() const { return Division; }
   /// \return part of the rate of a cold target that this entry has, from 0 to 1
   double partOfColdRate(const target_state &State,
                         const routing::service &Service) const;
@@ -190,7 +163,8 @@
                                        const base::region_name *Region,
                                        bool Leaving, base::boot_time Now) const;
   std::vector<candidate> allCandidates(const placement_query &Query,
-                                       base::boot_time Now);
+                                       const base::region_name *Region,
+                                       base::boot_time Now) const;
   best_candidates findBest(std::vector<candidate> &Candidates,
                            const placement_query &Query, base::boot_time Now);
   no_target explainNoCandidate(const placement_query &Query,
@@ -200,8 +174,12 @@
              const placement_query &Query,
              const processing_time_estimate &Estimate,
              base::boot_time Now) const;
-  void scheduleColdSends(target_state &State, const routing::service &Service,
-                         base::boot_time Now) const;
+  target_slot findSlot(const target_state &State,
+                       const routing::service &Service,
+                       const slot_sequence &Slots, base::boot_time Now) const;
+  base::boot_time nextSendAt(target_state &State,
+                             const routing::service &Service, double Rate,
+                             base::boot_time Now) const;
   const candidate *unusedTarget(const std::vector<candidate> &Candidates,
                                 const placement_query &Query,
                                 base::boot_time Now) const;
@@ -211,7 +189,9 @@
 
   target_registry &Registry;
   base::region_name OwnRegion;
-  cold_rate_share ColdRateShare;
+  rate_division Division;
+  /// Rises whenever slots may have changed their owner.
+  std::uint64_t DivisionVersion = 1;
   processing_time_model ProcessingTimes;
   admission::admission_controller Admission;
   move_counter Moves;
--- a/include/skylarkdyke/placement/target_registry.hpp
+++ b/include/skylarkdyke/placement/target_registry.hpp
@@ -7,6 +7,7 @@
 #include "skylarkdyke/routing/route.hpp"
 #include "skylarkdyke/routing/target.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -56,6 +57,17 @@
   Cancelled,
 };
 
+/// \brief A slot of this entry in a rate that all entries divide.
+struct target_slot {
+  base::boot_time Start;
+  /// Equal to Start if the search found no slot before that time.
+  base::boot_time End;
+  /// Interval of the slots that were searched.
+  std::chrono::nanoseconds Interval{0};
+  /// Version of the division for which it was found.
+  std::uint64_t DivisionVersion = 0;
+};
+
 /// \brief One target with the state that this entry has observed.
 struct target_state {
   routing::target Target;
@@ -89,20 +101,17 @@
   /// A connection could not be opened, so the target may have restarted: it
   /// counts as cold from its next answer on.
   bool MayHaveRestarted = false;
-  /// NextColdSend has been set since the target became cold.
-  bool ColdSendScheduled = false;
   /// Time until which the target is cold, for example after its start: it
   /// tolerates only routing::service::ColdRequestsPerSecond.
   base::boot_time ColdUntil{};
   /// Time until which the target may be cold, because it has not said yet that
   /// it is not: it gets requests as if it were.
   base::boot_time MayBeColdUntil{};
-  /// Earliest time of the next send while the target is cold; the time of the
-  /// latest send while it is not.
-  base::boot_time NextColdSend{};
-  /// Interval between sends that keeps this entry's share of the rate of a cold
-  /// target; 0 while the target is not cold.
-  std::chrono::nanoseconds ColdInterval{0};
+  /// Time until which a target that has become cold gets nothing: entries that
+  /// did not know of it yet have sent to it as to a warm one.
+  base::boot_time RestsUntil{};
+  /// Next slot of this entry, as far as it was searched.
+  target_slot NextSlot;
   /// Time of this entry's latest send to the target.
   base::boot_time LastSendAt{};
   base::boot_time AddedAt{};
@@ -222,9 +231,15 @@
   /// requests now: it leaves and its time of use has passed, or it pauses.
   static bool declinesRequests(const target_state &State, base::boot_time Now);
 
+  /// \return time until which a target tolerates only its cold rate, as far as
+  /// is known
+  static base::boot_time coldEnd(const target_state &State) {
+    return std::max(State.ColdUntil, State.MayBeColdUntil);
+  }
+
   /// \brief Whether a target tolerates only its cold rate, as far as is known.
   static bool isCold(const target_state &State, base::boot_time Now) {
-    return State.ColdUntil > Now || State.MayBeColdUntil > Now;
+    return coldEnd(State) > Now;
   }
 
   /// \brief Whether new requests may be sent to a target: it is not draining,
@@ -263,6 +278,7 @@
   void removeFromIndex(const target_state &State);
   static void markCold(target_state &State, base::boot_time Until,
                        base::boot_time Now);
+  static void startRest(target_state &State, base::boot_time Now);
   void eject(target_state &State, base::boot_time Now);
   void updateUsableUntil(target_state &State) const;
   target_state *findIncarnation(const target_incarnation &Target);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include "gateway/detail/loop_lateness.hpp"
 #include "gateway/detail/mesh_link.hpp"
 #include "gateway/detail/quota_service.hpp"
+#include "gateway/detail/rate_holders.hpp"
 #include "gateway/detail/request_rejection.hpp"
 #include "gateway/detail/steering_state.hpp"
 #include "gateway/detail/watch_delay.hpp"
@@ -312,42 +313,34 @@
 void gateway::impl::updateShares(base::boot_time Now) {
   std::map<std::string, std::map<base::region_name, double>> Demand;
   const auto OwnDemand = Context.Demand.rates(Now);
-  placement::cold_rate_share ColdRateShare;
   std::set<base::region_name> Regions{Settings.Region};
   for (const auto &[Domain, Region] : Settings.RegionOf)
     Regions.insert(Region);
   const bool MessagesMissed = Now < HeartbeatsMissedUntil;
   Members.updateShares(MessagesMissed, Now);
-  const membership::share_holders &Holders = Members.shareHolders();
+  placement::rate_division Division =
+      detail::rateDivisionOf(Members.limitDivision(Now), Settings.Mesh);
   const unsigned PreviousEntryCount = Context.EntryCount;
   Context.EntryCount = 0;
   for (const base::region_name &Region : Regions) {
     const unsigned EntryCount = Members.holderCountOf(Region, Now);
     Context.EntryCount += EntryCount;
     if (EntryCount > 0)
-      ColdRateShare.RegionsWithEntries.insert(Region);
+      Division.RegionsWithEntries.insert(Region);
     for (const auto &[Service, Rate] : Members.demandOf(Region, OwnDemand, Now))
       Demand[Service][Region] = Rate;
   }
-  // Right after the start, heartbeats of other regions may still be missing, so
-  // that all regions count as having entries.
-  const bool HasEqualPart = Holders.hasEqualPart(Now);
-  if (!HasEqualPart)
-    ColdRateShare.RegionsWithEntries = Regions;
-  for (const auto &[Service, Rate] : OwnDemand)
-    ColdRateShare.DemandShare[Service] = Holders.shareOf(Service);
-  ColdRateShare.EntrySeed = Incarnation;
-  ColdRateShare.DefaultShare = Holders.defaultShare();
-  ColdRateShare.ShareWithoutEntries =
-      HasEqualPart ? 1.0 / Context.EntryCount : 0;
+  // Right after the start, heartbeats of other regions may still be missing.
+  const bool HasEqualPart = Members.shareHolders().hasEqualPart(Now);
+  Division.UsesOtherRegions = HasEqualPart;
   if (MessagesMissed) {
     Context.EntryCount = std::max(Context.EntryCount, PreviousEntryCount);
-    ColdRateShare = placement::limitToPrevious(std::move(ColdRateShare),
-                                               Placer.coldRateShares());
+    Division =
+        placement::limitToPrevious(std::move(Division), Placer.rateDivision());
   }
   Context.RetrySlackEntries =
       HasEqualPart ? Context.EntryCount : std::numeric_limits<unsigned>::max();
-  Placer.setColdRateShare(std::move(ColdRateShare));
+  Placer.setRateDivision(std::move(Division));
   for (auto &[Service, ByRegion] : Demand) {
     double Total = 0;
     for (const auto &[Region, Rate] : ByRegion)
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -34,13 +34,18 @@
 static constexpr double RoundTripWeight = 0.2;
 /// Requests per slot at which a target counts as full.
 static constexpr double MaxLoadPerSlot = 3.5;
-/// Shortest retry delay that is given to a caller when this entry's share of
-/// the rate of cold targets is exhausted.
+/// Shortest retry delay that is given to a caller while this entry has no slot
+/// of a cold target.
 static constexpr milliseconds MinColdRetryAfter{5};
-/// Minimum rate of sends to a cold target in requests per second; it also
-/// applies if this entry's share is 0 because the target's region has entries
-/// of its own.
-static constexpr double MinColdRate = 0.1;
+/// Rate of sends of all entries together to a cold target whose service states
+/// none, in requests per second.
+static constexpr double UnstatedColdRate = 0.1;
+/// Number of slots ahead that are searched for one of this entry. They last
+/// longer than most cold times.
+static constexpr int MaxSlotsAhead = 32;
+/// Accuracy with which the start of a slot is known while the wall clock is
+/// adjusted, so that none is used twice.
+static constexpr milliseconds SlotTolerance{20};
 /// Age from which a target that joined and is still unused gets a request
 /// regardless of its cost. The delay gives the target time to settle.
 static constexpr milliseconds FirstUseDelay{1500};
@@ -85,6 +90,9 @@
   const candidate *Healthy = nullptr;
   const candidate *Leaving = nullptr;
   const candidate *Ejected = nullptr;
+  bool isEmpty() const {
+    return Healthy == nullptr && Leaving == nullptr && Ejected == nullptr;
+  }
   /// Earliest time at which a cold candidate that was left out may be used.
   base::boot_time NextColdSend = base::boot_time::max();
 };
@@ -94,26 +102,19 @@
                               XXH3_64bits(RouteName.data(), RouteName.size()));
 }
 
-cold_rate_share limitToPrevious(cold_rate_share Next,
-                                const cold_rate_share &Previous) {
-  for (auto &[Service, Share] : Next.DemandShare) {
-    const auto Found = Previous.DemandShare.find(Service);
-    Share = std::min(Share, Found == Previous.DemandShare.end()
-                                ? Previous.DefaultShare
-                                : Found->second);
-  }
-  Next.DefaultShare = std::min(Next.DefaultShare, Previous.DefaultShare);
-  Next.ShareWithoutEntries =
-      std::min(Next.ShareWithoutEntries, Previous.ShareWithoutEntries);
-  Next.RegionsWithEntries.insert(Previous.RegionsWithEntries.begin(),
-                                 Previous.RegionsWithEntries.end());
-  return Next;
-}
-
 placer::placer(target_registry &Registry, base::region_name OwnRegion)
     : Registry(Registry), OwnRegion(std::move(OwnRegion)), Moves(Registry) {}
 placer::~placer() = default;
 
+void placer::setRateDivision(rate_division Next) {
+  // The origin follows the wall clock, which slots allow for.
+  if (!(Next.Own == Division.Own) || Next.Others != Division.Others ||
+      Next.RegionsWithEntries != Division.RegionsWithEntries ||
+      Next.UsesOtherRegions != Division.UsesOtherRegions)
+    ++DivisionVersion;
+  Division = std::move(Next);
+}
+
 void placer::setDemand(const base::service_name &Service,
                        std::map<base::region_name, double> DemandByRegion) {
   Demand[Service] = std::move(DemandByRegion);
@@ -212,7 +213,7 @@
 double placer::entryPhase(const target_state &State) const {
   return std::ldexp(
       static_cast<double>(XXH3_64bits_withSeed(&State.Seed, sizeof(State.Seed),
-                                               ColdRateShare.EntrySeed) >>
+                                               Division.Own.Seed) >>
                           11U),
       -53);
 }
@@ -244,37 +245,56 @@
   return Shortest == nanoseconds::max() ? nanoseconds(0) : Shortest;
 }
 
-/// Sets the interval between sends to a cold target. The first send of an entry
-/// is delayed by a fraction of that interval, which grows as the entry's share
-/// of the rate shrinks: otherwise all entries would send as soon as they
-/// discover the target. It also keeps the interval from the latest send, which
-/// may have reached the target when it was cold already.
-void placer::scheduleColdSends(target_state &State,
-                               const routing::service &Service,
-                               base::boot_time Now) const {
-  const double Share = partOfColdRate(State, Service);
-  const double Rate =
-      std::max(Share * Service.ColdRequestsPerSecond, MinColdRate);
-  const std::chrono::duration<double> Interval(1 / Rate);
-  State.ColdInterval = std::chrono::duration_cast<nanoseconds>(Interval);
-  if (State.ColdSendScheduled)
-    return;
-  State.ColdSendScheduled = true;
-  State.NextColdSend = std::max(
-      State.NextColdSend + State.ColdInterval,
-      Now + std::chrono::duration_cast<nanoseconds>(
-                Interval * entryPhase(State) * std::max(0.0, 1 - Share)));
+/// Returns the rate of sends of all entries together to a cold target.
+static double coldRateOf(const routing::service &Service) {
+  return Service.ColdRequestsPerSecond > 0 ? Service.ColdRequestsPerSecond
+                                           : UnstatedColdRate;
+}
+
+/// Returns the first slot of this entry that has not ended and is not used, of
+/// those that are searched; or the end of the search.
+target_slot placer::findSlot(const target_state &State,
+                             const routing::service &Service,
+                             const slot_sequence &Slots,
+                             base::boot_time Now) const {
+  const slot_target Target{State.Region, incarnationSeed(State)};
+  send_slot Slot = Slots.earliestAt(Now);
+  for (int Ahead = 0; Ahead < MaxSlotsAhead; ++Ahead) {
+    const bool MayBeUsed = Slot.Start >= State.RestsUntil &&
+                           Slot.Start > State.LastSendAt + SlotTolerance;
+    if (MayBeUsed &&
+        ownsSlot(Division, OwnRegion, Service.Name, Target, Slot.Index))
+      return {Slot.Start, Slot.End, Slots.interval(), DivisionVersion};
+    Slot = Slots.at(Slot.Index + 1);
+  }
+  return {Slot.Start, Slot.Start, Slots.interval(), DivisionVersion};
+}
+
+/// Returns the time from which this entry may send to a target at a rate that
+/// all entries divide; the current time or an earlier one if it may do so now.
+base::boot_time placer::nextSendAt(target_state &State,
+                                   const routing::service &Service, double Rate,
+                                   base::boot_time Now) const {
+  const slot_sequence Slots(Division.SlotOrigin, Rate);
+  const target_slot &Known = State.NextSlot;
+  if (Known.DivisionVersion != DivisionVersion ||
+      Known.Interval != Slots.interval() || Known.End <= Now ||
+      Known.Start <= State.LastSendAt + SlotTolerance ||
+      Known.Start < State.RestsUntil)
+    State.NextSlot = findSlot(State, Service, Slots, Now);
+  return State.NextSlot.Start;
 }
 
 double placer::partOfColdRate(const target_state &State,
                               const routing::service &Service) const {
-  if (State.Region != OwnRegion)
-    return ColdRateShare.RegionsWithEntries.count(State.Region) == 0
-               ? ColdRateShare.ShareWithoutEntries
-               : 0;
-  const auto Found = ColdRateShare.DemandShare.find(Service.Name.str());
-  return Found == ColdRateShare.DemandShare.end() ? ColdRateShare.DefaultShare
-                                                  : Found->second;
+  if (State.Region == OwnRegion)
+    return Division.ownPart(Service.Name);
+  if (!Division.UsesOtherRegions ||
+      Division.RegionsWithEntries.count(State.Region) != 0)
+    return 0;
+  return Division.ownPart(Service.Name) /
+         static_cast<double>(
+             std::max<std::size_t>(1, Division.RegionsWithEntries.size()));
 }
 
 /// Finds a target that joined and has not been used yet. It gets one idempotent
@@ -289,7 +309,7 @@
     const target_state &State = *Candidate.State;
     const auto Age = Now - State.AddedAt;
     // The completion time is 0 if the candidate was skipped because it is cold
-    // and this entry's share of its rate is exhausted.
+    // and this entry has no slot now.
     if (State.Joined && !State.WasUsed && State.Region == OwnRegion &&
         Age > FirstUseDelay && State.EjectedUntil <= Now &&
         !State.UsableUntil && Candidate.CompletionTime != nanoseconds(0))
@@ -374,14 +394,15 @@
                           Now);
 }
 
-/// Returns the candidates of the home region, or of all regions if it has none,
-/// and after them the leaving targets of all regions.
+/// Returns the candidates of a region, or of all regions if it has none, and
+/// after them the leaving targets of all regions.
+/// \param Region null for all regions
 std::vector<placer::candidate>
-placer::allCandidates(const placement_query &Query, base::boot_time Now) {
-  const base::region_name HomeRegion = homeRegion(Query, Now);
-  std::vector<candidate> Candidates =
-      candidatesFor(Query, &HomeRegion, false, Now);
-  if (Candidates.empty())
+placer::allCandidates(const placement_query &Query,
+                      const base::region_name *Region,
+                      base::boot_time Now) const {
+  std::vector<candidate> Candidates = candidatesFor(Query, Region, false, Now);
+  if (Candidates.empty() && Region != nullptr)
     Candidates = candidatesFor(Query, nullptr, false, Now);
   const auto Leaving = candidatesFor(Query, nullptr, true, Now);
   Candidates.insert(Candidates.end(), Leaving.begin(), Leaving.end());
@@ -397,11 +418,12 @@
   for (std::size_t Rank = 0; Rank < Candidates.size(); ++Rank) {
     candidate &Candidate = Candidates[Rank];
     target_state &State = *Candidate.State;
-    State.ColdInterval = nanoseconds(0);
     if (target_registry::isCold(State, Now)) {
-      scheduleColdSends(State, *Query.Service, Now);
-      if (State.NextColdSend > Now) {
-        Best.NextColdSend = std::min(Best.NextColdSend, State.NextColdSend);
+      const base::boot_time NextSendAt =
+          nextSendAt(State, *Query.Service, coldRateOf(*Query.Service), Now);
+      if (NextSendAt > Now) {
+        Best.NextColdSend = std::min(
+            {Best.NextColdSend, NextSendAt, target_registry::coldEnd(State)});
         continue;
       }
     }
@@ -434,10 +456,17 @@
 
 placement_result placer::choose(const placement_query &Query,
                                 base::boot_time Now) {
-  std::vector<candidate> Candidates = allCandidates(Query, Now);
+  const base::region_name HomeRegion = homeRegion(Query, Now);
+  std::vector<candidate> Candidates = allCandidates(Query, &HomeRegion, Now);
   if (Candidates.empty())
     return explainNoCandidate(Query, Now);
-  const best_candidates Groups = findBest(Candidates, Query, Now);
+  best_candidates Groups = findBest(Candidates, Query, Now);
+  if (Groups.isEmpty()) {
+    // All targets of the home region are cold, and none has a slot for this
+    // entry now.
+    Candidates = allCandidates(Query, nullptr, Now);
+    Groups = findBest(Candidates, Query, Now);
+  }
   const candidate *Best = Groups.Healthy;
   if (Best == nullptr)
     Best = Groups.Leaving != nullptr ? Groups.Leaving : Groups.Ejected;
--- a/src/placement/target_registry.cpp
+++ b/src/placement/target_registry.cpp
@@ -52,6 +52,11 @@
 /// would tell each other the same news without end.
 static constexpr milliseconds MayBeColdTolerance{800};
 
+/// Time in which a target gets nothing after it has become cold in use. Limits
+/// of cold targets count a second, with the requests of the time before the
+/// entries knew.
+static constexpr milliseconds RestTime{1000};
+
 static const std::vector<target_state *> EmptyTargets;
 
 target_registry::target_registry(
@@ -64,8 +69,9 @@
   if (Region == RegionOf.end())
     return false;
   auto &State = States[Target.Id];
+  const bool IsNew = !State;
   const bool IsNewIncarnation =
-      !State || State->Target.StartedAtMs != Target.StartedAtMs ||
+      IsNew || State->Target.StartedAtMs != Target.StartedAtMs ||
       !(State->Target.Address == Target.Address);
   // The index holds the state under the service of the previous record.
   const bool IsIndexed =
@@ -87,6 +93,8 @@
   updateUsableUntil(*State);
   if (Target.RemainingColdTime > milliseconds(0))
     markCold(*State, Now + Target.RemainingColdTime, Now);
+  if (IsNew)
+    State->RestsUntil = base::boot_time{};
   if (IsNewIncarnation)
     State->TakesOverAt = std::max(Now, State->ColdUntil);
   if (!IsIndexed)
@@ -144,19 +152,23 @@
   }
   if (MayBeCold && Until <= State->MayBeColdUntil + MayBeColdTolerance)
     return false;
-  if (!isCold(*State, Now))
-    State->ColdSendScheduled = false;
+  startRest(*State, Now);
   State->MayBeColdUntil = Until;
   return true;
 }
 
 void target_registry::markCold(target_state &State, base::boot_time Until,
                                base::boot_time Now) {
-  if (!isCold(State, Now))
-    State.ColdSendScheduled = false;
+  startRest(State, Now);
   State.ColdUntil = Until;
 }
 
+/// Starts the rest of a target in use that becomes cold.
+void target_registry::startRest(target_state &State, base::boot_time Now) {
+  if (!isCold(State, Now))
+    State.RestsUntil = Now + RestTime;
+}
+
 bool target_registry::remove(const base::target_id &Id, base::boot_time At) {
   const auto Found = States.find(Id);
   if (Found == States.end() || Found->second->RemovedAt)
@@ -227,8 +239,11 @@
   if (Evacuated.erase(Domain) == 0)
     return;
   for (const auto &[Id, State] : States)
-    if (State->Target.Domain == Domain)
+    if (State->Target.Domain == Domain) {
       markCold(*State, std::max(State->ColdUntil, Now + ColdTime), Now);
+      // It got nothing during the evacuation.
+      State->RestsUntil = base::boot_time{};
+    }
 }
 
 target_state *target_registry::find(const base::target_id &Id) {
@@ -261,9 +276,6 @@
   ++State->InFlight;
   State->WasUsed = true;
   State->LastSendAt = Now;
-  State->NextColdSend =
-      std::max(State->NextColdSend, Now - State->ColdInterval) +
-      State->ColdInterval;
   if (State->ConsecutiveFailures > 0)
     State->ProbeInFlight = true;
 }
@@ -293,6 +305,8 @@
     if (State->MayHaveRestarted) {
       State->MayHaveRestarted = false;
       markCold(*State, std::max(State->ColdUntil, Now + ColdTime), Now);
+      // It could not be reached before.
+      State->RestsUntil = base::boot_time{};
     }
     return;
   case send_result::Cancelled:
--- a/tests/support/placer_fleet.cpp
+++ b/tests/support/placer_fleet.cpp
@@ -33,6 +33,15 @@
 placer_fleet::entry::entry(const base::region_name &Region)
     : Registry({{NorthA, North}, {SouthA, South}}), Placer(Registry, Region) {}
 
+static placement::rate_holder holderOf(std::size_t Index,
+                                       fleet_knowledge Knowledge) {
+  placement::rate_holder Holder{(Index + 1) * 0x9E3779B97F4A7C15U, 0.1, {}};
+  if (Knowledge == fleet_knowledge::Complete ||
+      (Knowledge == fleet_knowledge::DemandAtSome && Index % 10 == 0))
+    Holder.WeightByService["stock"] = 5;
+  return Holder;
+}
+
 placer_fleet::placer_fleet(std::size_t LocalEntries, std::size_t OtherEntries,
                            unsigned Seed, fleet_knowledge Knowledge)
     : Random(Seed) {
@@ -51,34 +60,22 @@
 void placer_fleet::setParts(std::size_t Index, std::size_t LocalEntries,
                             std::size_t OtherEntries,
                             fleet_knowledge Knowledge) {
-  placement::cold_rate_share Share;
-  Share.EntrySeed = Random() * 0x9E3779B97F4A7C15U + Index;
+  placement::rate_division Division;
+  const bool IsLocal = Index < LocalEntries;
+  const std::size_t First = IsLocal ? 0 : LocalEntries;
+  const std::size_t Last = IsLocal ? LocalEntries : LocalEntries + OtherEntries;
+  for (std::size_t I = First; I < Last; ++I)
+    if (I != Index)
+      Division.Others.push_back(holderOf(I, Knowledge));
+  Division.Own = holderOf(Index, Knowledge);
   if (LocalEntries > 0 || Knowledge == fleet_knowledge::JustStarted)
-    Share.RegionsWithEntries.insert(North);
+    Division.RegionsWithEntries.insert(North);
   if (OtherEntries > 0 || Knowledge == fleet_knowledge::JustStarted)
-    Share.RegionsWithEntries.insert(South);
-  const double EqualPart =
-      1.0 /
-      static_cast<double>(Index < LocalEntries ? LocalEntries : OtherEntries);
-  switch (Knowledge) {
-  case fleet_knowledge::JustStarted:
-    Share.DefaultShare = 0;
-    Share.ShareWithoutEntries = 0;
-    break;
-  case fleet_knowledge::Complete:
-    Share.DemandShare["stock"] = EqualPart;
-    Share.DefaultShare = EqualPart;
-    Share.ShareWithoutEntries =
-        1.0 / static_cast<double>(LocalEntries + OtherEntries);
-    break;
-  case fleet_knowledge::DemandAtSome:
-    if (Index % 10 == 0)
-      Share.DemandShare["stock"] = 10 * EqualPart;
-    Share.DefaultShare = EqualPart;
-    Share.ShareWithoutEntries = 0;
-    break;
-  }
-  Entries[Index].Placer.setColdRateShare(std::move(Share));
+    Division.RegionsWithEntries.insert(South);
+  if (Knowledge == fleet_knowledge::JustStarted)
+    Division.Own = {Division.Own.Seed, 0, {}};
+  Division.UsesOtherRegions = Knowledge == fleet_knowledge::Complete;
+  Entries[Index].Placer.setRateDivision(std::move(Division));
 }
 
 void placer_fleet::addTarget(const std::string &Id, milliseconds ColdTime) {
@@ -91,8 +88,18 @@
 }
 
 void placer_fleet::removeTarget(const std::string &Id) {
-  for (entry &Entry : Entries)
+  for (entry &Entry : Entries) {
     Entry.Registry.remove(base::target_id(Id), Now);
+    Entry.Registry.sweep(Now);
+  }
+}
+
+void placer_fleet::setClockSkew(milliseconds MaxSkew) {
+  for (std::size_t I = 0; I < Entries.size(); ++I) {
+    auto Division = Entries[I].Placer.rateDivision();
+    Division.SlotOrigin = base::boot_time{} + MaxSkew * (I % 3) / 2;
+    Entries[I].Placer.setRateDivision(std::move(Division));
+  }
 }
 
 void placer_fleet::turnCold(const std::string &Id, milliseconds ColdTime,
@@ -146,8 +153,6 @@
     for (std::size_t I = 0; I < Entries.size(); ++I)
       if (Arrives(Random))
         place({I, makeQuery(), 0});
-    for (entry &Entry : Entries)
-      Entry.Registry.sweep(Now);
   }
 }
 
--- a/tests/support/placer_fleet.hpp
+++ b/tests/support/placer_fleet.hpp
@@ -39,6 +39,8 @@
   /// \param ColdTime for how long it is cold; 0 if it is warm
   void addTarget(const std::string &Id, std::chrono::milliseconds ColdTime);
   void removeTarget(const std::string &Id);
+  /// Lets the clocks of the entries differ, in three groups.
+  void setClockSkew(std::chrono::milliseconds MaxSkew);
   /// Lets a target turn cold now. Each third of the entries learns of it at
   /// another time, the last one after MaxDelay.
   void turnCold(const std::string &Id, std::chrono::milliseconds ColdTime,
--- a/tests/unit-placement-cold-fleet.cpp
+++ b/tests/unit-placement-cold-fleet.cpp
@@ -54,6 +54,8 @@
       checkBound(Fleet);
       for (const std::string &Id : ColdTargets)
         CHECK(Fleet.sentTo(Id) >= 4 * placer_fleet::ColdRate / 2);
+      for (const auto RetryAfter : Fleet.Refusals)
+        CHECK(RetryAfter > 0ms && RetryAfter <= 4s);
     }
 }
 
@@ -161,3 +163,15 @@
       checkBound(Fleet);
     }
 }
+
+// Guards against entries whose clocks differ, so that their slots overlap.
+TEST(placement_cold_fleet, EntriesWithDifferentClocksKeepTheRate) {
+  for (const std::size_t Size : {10, 100, 300})
+    for (unsigned Seed = 1; Seed <= 10; ++Seed) {
+      placer_fleet Fleet(Size, 0, Seed);
+      Fleet.setClockSkew(std::chrono::milliseconds(200 * Seed));
+      addColdTargets(Fleet, 10s);
+      Fleet.run(10s, 10);
+      checkBound(Fleet);
+    }
+}
--- a/tests/unit-placement-placer.cpp
+++ b/tests/unit-placement-placer.cpp
@@ -30,6 +30,21 @@
   return Target;
 }
 
+static std::uint64_t seedOf(std::uint64_t Entry) {
+  return (Entry + 1) * 0x9E3779B97F4A7C15U;
+}
+
+/// Returns the division between entries with equal demand in the north.
+static placement::rate_division
+divisionOf(std::uint64_t Own, const std::vector<std::uint64_t> &Others) {
+  placement::rate_division Division;
+  Division.Own = {seedOf(Own), 0.1, {{"stock", 1}}};
+  for (const std::uint64_t Other : Others)
+    Division.Others.push_back({seedOf(Other), 0.1, {{"stock", 1}}});
+  Division.RegionsWithEntries = {North};
+  return Division;
+}
+
 TEST_GROUP(placement_placer) {
   placement::target_registry Registry{
       {{NorthA, North}, {NorthB, North}, {SouthA, base::region_name("south")}}};
@@ -186,11 +201,8 @@
   placement::target_registry OtherRegistry{{{NorthA, North}}};
   OtherRegistry.upsert(Cold, Now);
   placement::placer Other{OtherRegistry, North};
-  placement::cold_rate_share HalfShare;
-  HalfShare.DemandShare["stock"] = 0.5;
-  HalfShare.RegionsWithEntries = {North};
-  Placer.setColdRateShare(HalfShare);
-  Other.setColdRateShare(HalfShare);
+  Placer.setRateDivision(divisionOf(0, {1}));
+  Other.setRateDivision(divisionOf(1, {0}));
   int Sent = 0;
   const auto TrySend = [&](placement::placer &Entry,
                            placement::target_registry &EntryRegistry) {
@@ -226,11 +238,10 @@
         {{NorthA, North}, {SouthA, South}}};
     EntryRegistry.upsert(Cold, Now);
     placement::placer Entry{EntryRegistry, IsLocal ? North : South};
-    placement::cold_rate_share ColdRateShare;
-    ColdRateShare.DemandShare["stock"] = 0.5;
-    ColdRateShare.RegionsWithEntries = {North, South};
-    ColdRateShare.EntrySeed = I * 0x9E3779B97F4A7C15U;
-    Entry.setColdRateShare(ColdRateShare);
+    // Each entry knows one other of its region so far.
+    auto Division = divisionOf(I, {IsLocal ? (I + 1) % LocalEntries : I - 1});
+    Division.RegionsWithEntries = {North, South};
+    Entry.setRateDivision(std::move(Division));
     for (auto Time = 0ms; Time < 1s; Time += 10ms) {
       const auto Result = Entry.choose(query(1), Now + Time);
       if (!std::holds_alternative<placement::chosen_target>(Result))
@@ -255,11 +266,11 @@
         placement::target_registry EntryRegistry{{{NorthA, North}}};
         EntryRegistry.upsert(makeTarget("a", NorthA), Now);
         placement::placer Entry{EntryRegistry, North};
-        placement::cold_rate_share ColdRateShare;
-        ColdRateShare.DemandShare["stock"] = 1.0 / Entries;
-        ColdRateShare.RegionsWithEntries = {North};
-        ColdRateShare.EntrySeed = (Seed * Entries + I) * 0x9E3779B97F4A7C15U;
-        Entry.setColdRateShare(ColdRateShare);
+        std::vector<std::uint64_t> Others;
+        for (unsigned Other = 0; Other < Entries; ++Other)
+          if (Other != I)
+            Others.push_back(Seed * Entries + Other);
+        Entry.setRateDivision(divisionOf(Seed * Entries + I, Others));
         const nanoseconds Pause = nanoseconds(1s) / OfferedPerSecond;
         for (nanoseconds Time = Pause * I; Time < 1s; Time += Pause * Entries) {
           if (Time >= 500ms)
@@ -279,6 +290,20 @@
     }
 }
 
+// Guards against refusals while other regions have warm targets.
+TEST(placement_placer, ARegionOfColdTargetsLeavesRequestsToOthers) {
+  auto Cold = makeTarget("cold", NorthA);
+  Cold.RemainingColdTime = 60s;
+  Registry.upsert(Cold, Now);
+  addTargets(2, SouthA);
+  Placer.setDemand(Stock, {{North, 30.0}});
+  Placer.setRateDivision(divisionOf(0, {1}));
+  int Served = 0;
+  for (std::uint64_t Object = 0; Object < 100; ++Object, Now += 50ms)
+    Served += choose(query(Object)).empty() ? 0 : 1;
+  LONGS_EQUAL(100, Served);
+}
+
 // Guards against a target that fails fast and, because it is always free,
 // attracts all traffic.
 TEST(placement_placer, FailingTargetIsEjected) {
@@ -540,20 +565,21 @@
 // Guards against an entry that was paused and then uses the shares of the
 // others, which it takes for dead.
 TEST(placement_placer, SharesDoNotGrowAfterAPause) {
-  placement::cold_rate_share Previous;
-  Previous.DemandShare["s"] = 0.2;
-  Previous.DefaultShare = 0.1;
-  Previous.ShareWithoutEntries = 0.05;
+  const base::service_name Known("s");
+  const base::service_name New("t");
+  placement::rate_division Previous;
+  Previous.Own = {1, 1, {{"s", 1}}};
+  Previous.Others = {{2, 4, {{"s", 3}}}, {3, 5, {{"s", 1}}}};
   Previous.RegionsWithEntries = {base::region_name("r"),
                                  base::region_name("q")};
-  placement::cold_rate_share Alone;
-  Alone.DemandShare["s"] = 1;
-  Alone.DemandShare["t"] = 1;
+  placement::rate_division Alone;
+  Alone.Own = {1, 1, {{"s", 9}, {"t", 9}}};
   Alone.RegionsWithEntries = {base::region_name("r")};
+  Alone.UsesOtherRegions = true;
   const auto Limited = placement::limitToPrevious(Alone, Previous);
-  DOUBLES_EQUAL(0.2, Limited.DemandShare.at("s"), 0);
-  DOUBLES_EQUAL(0.1, Limited.DemandShare.at("t"), 0);
-  DOUBLES_EQUAL(0.1, Limited.DefaultShare, 0);
-  DOUBLES_EQUAL(0.05, Limited.ShareWithoutEntries, 0);
+  DOUBLES_EQUAL(0.2, Limited.ownPart(Known), 1e-9);
+  DOUBLES_EQUAL(0.1, Limited.ownPart(New), 1e-9);
+  DOUBLES_EQUAL(0.1, Limited.ownPart(base::service_name("u")), 1e-9);
+  CHECK(!Limited.UsesOtherRegions);
   LONGS_EQUAL(2, Limited.RegionsWithEntries.size());
 }
--- a/tests/unit-placement-signals.cpp
+++ b/tests/unit-placement-signals.cpp
@@ -237,10 +237,12 @@
 
   explicit sending_fleet(std::size_t Size) : Entries(Size) {
     for (std::size_t I = 0; I < Size; ++I) {
-      placement::cold_rate_share Share;
-      Share.DefaultShare = 1.0 / static_cast<double>(Size);
-      Share.EntrySeed = I;
-      Entries[I].Placer.setColdRateShare(Share);
+      placement::rate_division Division;
+      Division.Own = {I, 1, {}};
+      for (std::size_t Other = 0; Other < Size; ++Other)
+        if (Other != I)
+          Division.Others.push_back({Other, 1, {}});
+      Entries[I].Placer.setRateDivision(std::move(Division));
       for (const char *Id : {"a", "b", "c"})
         Entries[I].Registry.upsert(makeTarget(Id), Now);
     }
