Let entries take turns with the first request to a target that joins

A target that joins got the first request of every entry of its region in the same second, 1.5 s after its registration: 99 requests from 100 entries, 960 from 1,000, where a few slots were free. Where entries took a target for warm a moment too early, these counted against its cold rate.

Cause: each entry sends one request to a joined target regardless of its cost, to measure its speed. That is an allowance of each entry in what the target can take from all.

The first use now takes a slot of a rate of 4 a second that all entries divide like the rate of a cold target.

--- a/include/skylarkdyke/placement/placer.hpp
+++ b/include/skylarkdyke/placement/placer.hpp
@@ -180,6 +180,8 @@
   base::boot_time nextSendAt(target_state &State,
                              const routing::service &Service, double Rate,
                              base::boot_time Now) const;
+  bool mayUseFirst(target_state &State, const routing::service &Service,
+                   base::boot_time Now) const;
   const candidate *unusedTarget(const std::vector<candidate> &Candidates,
                                 const placement_query &Query,
                                 base::boot_time Now) const;
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -40,6 +40,8 @@
 /// Rate of sends of all entries together to a cold target whose service states
 /// none, in requests per second.
 static constexpr double UnstatedColdRate = 0.1;
+/// Rate of first uses of all entries together, per target and second.
+static constexpr double FirstUsesPerSecond = 4;
 /// Number of slots ahead that are searched for one of this entry. They last
 /// longer than most cold times.
 static constexpr int MaxSlotsAhead = 32;
@@ -297,8 +299,15 @@
              std::max<std::size_t>(1, Division.RegionsWithEntries.size()));
 }
 
+/// Returns whether it is this entry's turn to use a target for the first time.
+bool placer::mayUseFirst(target_state &State, const routing::service &Service,
+                         base::boot_time Now) const {
+  return target_registry::isCold(State, Now) ||
+         nextSendAt(State, Service, FirstUsesPerSecond, Now) <= Now;
+}
+
 /// Finds a target that joined and has not been used yet. It gets one idempotent
-/// request, so that its speed is measured.
+/// request, so that its speed is measured; the entries take turns.
 const placer::candidate *
 placer::unusedTarget(const std::vector<candidate> &Candidates,
                      const placement_query &Query, base::boot_time Now) const {
@@ -312,7 +321,8 @@
     // and this entry has no slot now.
     if (State.Joined && !State.WasUsed && State.Region == OwnRegion &&
         Age > FirstUseDelay && State.EjectedUntil <= Now &&
-        !State.UsableUntil && Candidate.CompletionTime != nanoseconds(0))
+        !State.UsableUntil && Candidate.CompletionTime != nanoseconds(0) &&
+        mayUseFirst(*Candidate.State, *Query.Service, Now))
       return &Candidate;
   }
   return nullptr;
