--- a/tests/system-soak.cpp
+++ b/tests/system-soak.cpp
@@ -1,9 +1,9 @@
+#include "support/environment.hpp"
 #include "support/fault_runner.hpp"
 #include "support/racing_operators.hpp"
 #include "support/soak_judge.hpp"
 
 #include <CppUTest/TestHarness.h>
-#include <cstdlib>
 #include <iostream>
 
 using namespace skylarkdyke;
@@ -21,11 +21,6 @@
 // G8: an accepted configuration is in force everywhere within 5 s.
 static constexpr std::chrono::seconds InForceLimit{5};
 
-static std::uint64_t fromEnvironment(const char *Name, std::uint64_t Default) {
-  const char *Text = std::getenv(Name);
-  return Text == nullptr ? Default : std::strtoull(Text, nullptr, 10);
-}
-
 static void prepare(cluster &Cluster) {
   config::document &Document = Cluster.Plan.Document;
   for (config::region &Region : Document.Regions)
