--- /dev/null
+++ b/tests/support/recording_target.cpp
@@ -0,0 +1,103 @@
+#include "support/recording_target.hpp"
+
+#include "skylarkdyke/base/endpoint.hpp"
+#include "skylarkdyke/net/http_server.hpp"
+#include "support/free_port.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <utility>
+
+namespace test_support {
+
+using namespace skylarkdyke;
+using pending = std::shared_ptr<net::pending_request>;
+
+static constexpr const char *HealthPath = "/healthz";
+static constexpr std::size_t MaxConnections = 2000;
+
+struct recording_target::impl {
+  explicit impl(std::string Id);
+  ~impl();
+
+  void handle(const pending &Request);
+  void record(const std::string &RequestId);
+
+  const std::string Id;
+  const base::endpoint Address{"127.0.0.1", freePort()};
+  mutable std::mutex Mutex;
+  std::vector<recorded_arrival> Arrivals;
+  boost::asio::io_context Loop;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      Guard{Loop.get_executor()};
+  net::http_server Server;
+  std::thread Thread;
+};
+
+recording_target::impl::impl(std::string Id)
+    : Id(std::move(Id)),
+      Server(
+          Loop, MaxConnections, [] { return base::message_limits(); },
+          [this](const pending &Request) { handle(Request); }) {
+  Server.listen(Address);
+  Thread = std::thread([this] { Loop.run(); });
+}
+
+recording_target::impl::~impl() {
+  boost::asio::post(Loop, [this] {
+    Server.stopAccepting();
+    Loop.stop();
+  });
+  Thread.join();
+}
+
+void recording_target::impl::record(const std::string &RequestId) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  Arrivals.push_back({std::chrono::system_clock::now(), RequestId});
+}
+
+void recording_target::impl::handle(const pending &Request) {
+  const auto &Message = Request->request();
+  if (Message["Skylarkdyke-Expected-Instance"] != Id)
+    return Request->answer(net::makeResponse(421));
+  const std::string RequestId(Message["Skylarkdyke-Request-Id"]);
+  if (Message.target() != HealthPath)
+    record(RequestId);
+  auto Response = net::makeResponse(200, "answer to " + RequestId);
+  Response.set("Skylarkdyke-Request-Id", RequestId);
+  Response.set("Skylarkdyke-Response-Signature", "signed");
+  Response.set("Skylarkdyke-Server-Load", "1,0,4");
+  Request->answer(std::move(Response));
+}
+
+recording_target::recording_target(std::string Id)
+    : Impl(std::make_unique<impl>(std::move(Id))) {}
+recording_target::~recording_target() = default;
+
+const std::string &recording_target::id() const { return Impl->Id; }
+
+std::string
+recording_target::registration(std::chrono::seconds ColdTime) const {
+  return nlohmann::json{{"address", base::toString(Impl->Address)},
+                        {"born", 1},
+                        {"info",
+                         {{"service", "orders"},
+                          {"version", "v1"},
+                          {"zone", "z"},
+                          {"capacity", 4}}},
+                        {"status",
+                         {{"state", "ready"},
+                          {"sequence", 1},
+                          {"cold_remaining_s", ColdTime.count()}}}}
+      .dump();
+}
+
+std::vector<recorded_arrival> recording_target::arrivals() const {
+  const std::lock_guard<std::mutex> Lock(Impl->Mutex);
+  return Impl->Arrivals;
+}
+
+} // namespace test_support
--- /dev/null
+++ b/tests/support/recording_target.hpp
@@ -0,0 +1,46 @@
+#ifndef SKYLARKDYKE_TESTS_SUPPORT_RECORDING_TARGET_HPP
+#define SKYLARKDYKE_TESTS_SUPPORT_RECORDING_TARGET_HPP
+
+#include "skylarkdyke/base/clock.hpp"
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace test_support {
+
+/// \brief A request of a caller that has arrived at a target.
+struct recorded_arrival {
+  skylarkdyke::base::wall_time At;
+  std::string RequestId;
+};
+
+/// \brief Target of the service orders that answers at once and records when
+/// requests arrive. It has a thread of its own, so that load on a stand-in for
+/// the platform does not delay the record. All calls are thread-safe.
+class recording_target {
+public:
+  explicit recording_target(std::string Id);
+  ~recording_target();
+  recording_target(const recording_target &) = delete;
+  recording_target &operator=(const recording_target &) = delete;
+
+  const std::string &id() const;
+
+  /// \brief Record of the ready target for the store.
+  /// \param ColdTime how long the target stays cold
+  std::string registration(std::chrono::seconds ColdTime) const;
+
+  /// \brief All requests so far but health checks and those that were meant for
+  /// another target.
+  std::vector<recorded_arrival> arrivals() const;
+
+private:
+  struct impl;
+  std::unique_ptr<impl> Impl;
+};
+
+} // namespace test_support
+
+#endif
--- a/tests/support/served_entry.cpp
+++ b/tests/support/served_entry.cpp
@@ -6,6 +6,7 @@
 #include "support/raw_client.hpp"
 #include "support/wait_until.hpp"
 
+#include <cstdlib>
 #include <fstream>
 #include <iterator>
 
@@ -40,7 +41,8 @@
 
 served_entry::~served_entry() {
   Process.reset();
-  std::filesystem::remove_all(Folder);
+  if (std::getenv("SKYLARKDYKE_KEEP_LOGS") == nullptr)
+    std::filesystem::remove_all(Folder);
 }
 
 void served_entry::rename(const std::string &Name) {
@@ -52,10 +54,14 @@
   std::ofstream(Folder / "entry.toml") << Settings;
 }
 
-bool served_entry::start() {
+void served_entry::launch() {
   Process.emplace(
       std::vector<std::string>{"serve", (Folder / "entry.toml").string()},
       (Folder / "entry.log").string());
+}
+
+bool served_entry::start() {
+  launch();
   return waitUntil([this] { return isReady(); }, 10s);
 }
 
--- a/tests/support/served_entry.hpp
+++ b/tests/support/served_entry.hpp
@@ -36,6 +36,9 @@
   /// \param Name without characters that TOML escapes
   void rename(const std::string &Name);
 
+  /// \brief Starts the process, again if it has ended, without waiting.
+  void launch();
+
   /// \brief Starts the process, again if it has ended.
   /// \return whether it has become ready
   bool start();
--- a/tests/support/steady_callers.cpp
+++ b/tests/support/steady_callers.cpp
@@ -42,10 +42,11 @@
           End + 4 + std::strtoul(Buffer.c_str() + Length + 16, nullptr, 10);
       if (Buffer.size() >= Size) {
         const bool Closes = Buffer.find("Connection: close") < End;
+        const bool HasRetryAfter = Buffer.find("Retry-After: ") < End;
         const auto Status =
             static_cast<int>(std::strtol(Buffer.c_str() + 9, nullptr, 10));
         Buffer.erase(0, Size);
-        return {request_end::Answered, Status, Closes};
+        return {request_end::Answered, Status, Closes, HasRetryAfter};
       }
     }
     const ssize_t Count = recv(Socket, Part.data(), Part.size(), 0);
--- a/tests/support/steady_callers.hpp
+++ b/tests/support/steady_callers.hpp
@@ -28,6 +28,8 @@
   int Status = 0;
   /// The response announces the end of the connection.
   bool Closes = false;
+  /// The response tells when to ask again.
+  bool HasRetryAfter = false;
 };
 
 /// \brief Reads one response with a Content-Length from a connected socket.
