Let callers pause in the test of cold targets

Also guards against sends that entries save up while they have no requests: in the cold time all callers pause for 3 s and return at the same moment.

--- a/tests/support/paced_callers.cpp
+++ b/tests/support/paced_callers.cpp
@@ -24,6 +24,20 @@
     Thread.join();
 }
 
+void paced_callers::pauseUntil(base::boot_time Time) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  PausedUntil = Time;
+}
+
+void paced_callers::awaitEndOfPause() const {
+  base::boot_time Until;
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Until = PausedUntil;
+  }
+  std::this_thread::sleep_until(Until);
+}
+
 std::string paced_callers::requestBytes(std::size_t Entry,
                                         unsigned Number) const {
   const std::string Id = std::to_string(Entry) + "-" + std::to_string(Number);
@@ -41,6 +55,7 @@
   std::string Buffer;
   for (unsigned Number = 0; !Stopped; ++Number) {
     std::this_thread::sleep_for(milliseconds(Pause(Random)));
+    awaitEndOfPause();
     if (Socket < 0)
       Socket = connectTo(Fronts[Entry]);
     if (Socket < 0)
--- a/tests/support/paced_callers.hpp
+++ b/tests/support/paced_callers.hpp
@@ -38,6 +38,9 @@
   paced_callers(const paced_callers &) = delete;
   paced_callers &operator=(const paced_callers &) = delete;
 
+  /// \brief Sends nothing more until a time. All callers return at that time.
+  void pauseUntil(skylarkdyke::base::boot_time Time);
+
   /// \brief Requests that were sent at or after a time and have ended.
   std::vector<paced_request>
   requestsSince(skylarkdyke::base::boot_time From) const;
@@ -45,6 +48,7 @@
 private:
   void run(std::size_t Entry, std::chrono::milliseconds MeanInterval,
            std::uint64_t Seed);
+  void awaitEndOfPause() const;
   std::string requestBytes(std::size_t Entry, unsigned Number) const;
 
   std::vector<skylarkdyke::base::endpoint> Fronts;
@@ -52,6 +56,7 @@
   std::atomic<bool> Stopped{false};
   mutable std::mutex Mutex;
   std::vector<paced_request> Requests;
+  skylarkdyke::base::boot_time PausedUntil;
   std::vector<std::thread> Threads;
 };
 
--- a/tests/support/recording_target.hpp
+++ b/tests/support/recording_target.hpp
@@ -21,20 +21,21 @@
 /// the platform does not delay the record. All calls are thread-safe.
 class recording_target {
 public:
-  explicit recording_target(std::string Id);
+  /// \param ColdUntil until when the target tolerates only its cold rate
+  recording_target(std::string Id, skylarkdyke::base::wall_time ColdUntil);
   ~recording_target();
   recording_target(const recording_target &) = delete;
   recording_target &operator=(const recording_target &) = delete;
 
   const std::string &id() const;
 
-  /// \brief Record of the ready target for the store.
-  /// \param ColdTime how long the target stays cold
-  std::string registration(std::chrono::seconds ColdTime) const;
+  /// \brief Record of the ready target for the store, with the cold time that
+  /// is left.
+  std::string registration() const;
 
-  /// \brief All requests so far but health checks and those that were meant for
-  /// another target.
-  std::vector<recorded_arrival> arrivals() const;
+  /// \brief Requests that have arrived while the target was cold, but for
+  /// health checks and those that were meant for another target.
+  std::vector<recorded_arrival> coldArrivals() const;
 
 private:
   struct impl;
--- a/tests/system-serve-cold.cpp
+++ b/tests/system-serve-cold.cpp
@@ -39,6 +39,9 @@
 /// Callers of each entry send this often, and wait this long for an answer.
 static constexpr std::chrono::milliseconds CallerInterval{350};
 static constexpr std::chrono::milliseconds CallerLimit{3000};
+/// Within the cold time all callers pause, and then return together.
+static constexpr std::chrono::seconds PauseFrom{5};
+static constexpr std::chrono::seconds PauseEnd{8};
 /// Longest time until a request is refused that cannot be served.
 static constexpr std::chrono::milliseconds RefusalLimit{1000};
 /// Time in which entries that have started get their shares of the rates.
@@ -101,19 +104,19 @@
 
   void start() {
     Platform.put("op/config", routesWithColdTargets());
-    Warm = addTargets(0s);
+    Warm = addTargets(std::chrono::system_clock::now());
     CHECK_TRUE(Fleet.start());
     Callers.emplace(Fleet.fronts(), CallerInterval, CallerLimit, Seed);
     std::this_thread::sleep_for(ShareTime);
   }
 
-  targets addTargets(std::chrono::seconds ColdFor) {
+  targets addTargets(base::wall_time ColdUntil) {
     targets Added;
     for (std::size_t I = 0; I < TargetCount; ++I)
       Added.push_back(std::make_unique<recording_target>(
-          "t" + std::to_string(Round) + "-" + std::to_string(I)));
+          "t" + std::to_string(Round) + "-" + std::to_string(I), ColdUntil));
     for (const auto &Target : Added)
-      Platform.put("servers/" + Target->id(), Target->registration(ColdFor));
+      Platform.put("servers/" + Target->id(), Target->registration());
     return Added;
   }
 
@@ -124,24 +127,24 @@
     const auto Restarted = Fleet.restartSome(RestartCount, Random);
     const auto From = base::boot_clock::now();
     const auto ColdFrom = std::chrono::system_clock::now();
-    Cold = addTargets(ColdTime);
+    Cold = addTargets(ColdFrom + ColdTime);
     for (const auto &Target : Warm)
       Platform.remove("servers/" + Target->id());
-    std::this_thread::sleep_for(ColdTime);
+    std::this_thread::sleep_until(From + PauseFrom);
+    Callers->pauseUntil(From + PauseEnd);
+    std::this_thread::sleep_until(From + ColdTime);
     checkColdTargets(ColdFrom);
     checkCallers(Callers->requestsSince(From), Restarted);
     Warm = std::move(Cold);
   }
 
-  /// Collects the arrivals at a target while it was cold.
-  std::vector<base::wall_time> coldArrivals(const recording_target &Target,
+  /// Returns when requests have arrived at a cold target.
+  std::vector<base::wall_time> arrivalTimes(const recording_target &Target,
                                             base::wall_time ColdFrom) const {
     std::vector<base::wall_time> Times;
     const char *File = std::getenv("SKYLARKDYKE_COLD_ARRIVALS");
     std::ofstream Trace(File == nullptr ? "/dev/null" : File, std::ios::app);
-    for (const auto &Arrival : Target.arrivals()) {
-      if (Arrival.At >= ColdFrom + ColdTime)
-        continue;
+    for (const auto &Arrival : Target.coldArrivals()) {
       Times.push_back(Arrival.At);
       Trace << Round << ' ' << Target.id() << ' '
             << (Arrival.At - ColdFrom) / 1ms << ' ' << Arrival.RequestId
@@ -154,7 +157,7 @@
     std::size_t Total = 0;
     std::cout << "\nround " << Round << ", most in a second:";
     for (const auto &Target : Cold) {
-      const auto Times = coldArrivals(*Target, ColdFrom);
+      const auto Times = arrivalTimes(*Target, ColdFrom);
       const std::size_t Largest = test_support::largestWindow(Times, 1s);
       Total += Times.size();
       LargestOfAll = std::max(LargestOfAll, Largest);
@@ -190,7 +193,8 @@
 };
 
 // Guards against entries whose least rates add up to more than a cold target
-// tolerates, and against sends of many entries that coincide.
+// tolerates, against sends of many entries that coincide, and against sends
+// that are saved up while callers pause.
 TEST(system_serve_cold, ALargeRegionKeepsTheRateOfColdTargets) {
   playRounds(0);
 }
