Remove the item of an ended block from few entries, not from all

When a block of a request ends because a target has completed it, every entry learns of it by a notice, and each called the store to remove the item: two calls an entry, as a request has two fingerprints. The sum grows with the fleet: 24 at 12 entries, by the same code 600 at 300 and 2,000 at 1,000, within the time of one notice. When an operator ended a block, each entry also removed the item that was gone already.

The entry that finds the end out removes the item, and so do those that have stored the block themselves: their write may still be under way and would put the block in force again. The relays remove it 2 s later if the store has not told by then that it is gone, as they do for writes; one of them knows the block although the entry that saw the completion did not. An end that the store tells of needs no call.

gateway_crashes.TheEndOfABlockCostsFewCallsInFleetsOfAnySize failed before with 24 calls at 12 entries where 20 are the bound (the entry and nine relays, which the store has told nothing), and passes at 12, 300 and 1,000; AnItemThatIsGoneIsNotRemovedAgain failed with three calls where none is due. AnEntryThatHasStoredABlockRemovesItWhenItEnds guards the write under way and held before. gateway_crashes 24 of 24, gateway_restored 56 of 56 and system_serve_poison 4 of 4 pass.

--- a/src/gateway/detail/crash_guard.cpp
+++ b/src/gateway/detail/crash_guard.cpp
@@ -109,16 +109,30 @@
   crash_update Update;
   for (const std::uint64_t Fingerprint :
        {Request.OfCaller, Request.OfAnyCaller})
-    if (clear(Fingerprint, "completed", true, Now))
+    if (clear(Fingerprint, source::Own, Now))
       Update.Cleared.push_back(Fingerprint);
   if (!Update.empty())
     publish(std::move(Update), Now);
 }
 
-/// \param IsOwn this entry has found out the reason
+const char *crash_guard::toReason(source Ender) {
+  switch (Ender) {
+  case source::Own:
+    return "completed";
+  case source::Entry:
+    return "entry";
+  case source::Store:
+    return "removed";
+  case source::RestoredStore:
+    return "restored";
+  }
+  return "unknown";
+}
+
+/// \param Ender who has told of the end
 /// \return whether anything was known of the fingerprint
-bool crash_guard::clear(std::uint64_t Fingerprint, const char *Reason,
-                        bool IsOwn, base::boot_time Now) {
+bool crash_guard::clear(std::uint64_t Fingerprint, source Ender,
+                        base::boot_time Now) {
   const bool WasBlocked = Register.isBlocked(Fingerprint, Now);
   if (!Register.clear(Fingerprint))
     return false;
@@ -126,18 +140,37 @@
   if (!WasBlocked)
     return true;
   StoreTasks.erase(Fingerprint);
-  noteEnded(Fingerprint, {Now, IsOwn});
-  logEnded(Fingerprint, Reason, Now);
-  if (Store.Remove)
-    Store.Remove(Fingerprint);
+  noteEnded(Fingerprint, {Now, Ender == source::Own});
+  logEnded(Fingerprint, Ender, Now);
+  removeFromStore(Fingerprint, Ender, Now);
   return true;
 }
 
-void crash_guard::logEnded(std::uint64_t Fingerprint, const char *Reason,
+/// Removes the item of an ended block. All entries learn of the end, so that
+/// only the one that has found it out calls the store, and those that have
+/// written the item, because their write may still be under way. The relays do
+/// so later if the item is still there.
+void crash_guard::removeFromStore(std::uint64_t Fingerprint, source Ender,
+                                  base::boot_time Now) {
+  const bool HasWritten = WrittenBlocks.erase(Fingerprint) != 0;
+  if (Ender == source::Own || HasWritten) {
+    if (Store.Remove)
+      Store.Remove(Fingerprint);
+  } else if (Ender == source::Entry) {
+    StoreTasks[Fingerprint] = {item_removal{}, Now + RelayWriteDelay, false};
+  }
+}
+
+void crash_guard::forgetWrittenBlocks(base::boot_time Now) {
+  for (auto It = WrittenBlocks.begin(); It != WrittenBlocks.end();)
+    It = Register.isBlocked(*It, Now) ? std::next(It) : WrittenBlocks.erase(It);
+}
+
+void crash_guard::logEnded(std::uint64_t Fingerprint, source Ender,
                            base::boot_time Now) {
-  SKYLARKDYKE_DECISION(
-      Log, BlockEnded, Now,
-      {{"fingerprint", poison::toString(Fingerprint)}, {"reason", Reason}});
+  SKYLARKDYKE_DECISION(Log, BlockEnded, Now,
+                       {{"fingerprint", poison::toString(Fingerprint)},
+                        {"reason", toReason(Ender)}});
 }
 
 /// Remembers an end. Beyond the limit the earliest one is forgotten.
@@ -273,7 +306,7 @@
     }
   }
   for (const std::uint64_t Fingerprint : Update.Cleared)
-    IsNew = clear(Fingerprint, "entry", false, Now) || IsNew;
+    IsNew = clear(Fingerprint, source::Entry, Now) || IsNew;
   if (IsNotice && IsNew && Publish)
     Publish(Update, true);
 }
@@ -331,7 +364,7 @@
                            Ended->second.IsOwn};
   // Further listings may follow before the item is removed.
   if (StoreTasks.try_emplace(Block.Fingerprint, Removal).second)
-    logEnded(Block.Fingerprint, "restored", Now);
+    logEnded(Block.Fingerprint, source::RestoredStore, Now);
 }
 
 void crash_guard::onStoredBlockRemoved(std::uint64_t Fingerprint,
@@ -346,12 +379,13 @@
     StoreTasks[Fingerprint] = {block_write{false}, Now + RelayWriteDelay,
                                false};
   else
-    clear(Fingerprint, "removed", false, Now);
+    clear(Fingerprint, source::Store, Now);
 }
 
 void crash_guard::tick(bool IsRelay, base::boot_time Now) {
   Evidence.forgetExpired(Now);
   forgetEndedBlocks(Now);
+  forgetWrittenBlocks(Now);
   repeatNotices(Now);
   runStoreTasks(IsRelay, Now);
   Metrics
@@ -399,6 +433,7 @@
     return;
   if (WasLost)
     logBlocked(*Block, source::RestoredStore, Now);
+  WrittenBlocks.insert(Fingerprint);
   Store.Write({Fingerprint, Block->Service, Block->Summary, Block->Crashes});
 }
 
--- a/src/gateway/detail/crash_guard.hpp
+++ b/src/gateway/detail/crash_guard.hpp
@@ -15,6 +15,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <variant>
 
 namespace skylarkdyke::gateway::detail {
@@ -90,7 +91,7 @@
   void tick(bool IsRelay, base::boot_time Now);
 
 private:
-  /// Who has told of a crash or a block.
+  /// Who has told of a crash, a block or its end.
   enum class source { Own, Entry, Store, RestoredStore };
   /// A notice that is sent once more, because datagrams may be lost.
   struct repeated_notice {
@@ -103,7 +104,7 @@
     /// The store has lost it by its return from a copy.
     bool WasLost;
   };
-  /// Removes the item of an ended block that a restored store holds.
+  /// Removes the item of an ended block that the store holds.
   struct item_removal {};
   struct store_task {
     std::variant<block_write, item_removal> Work;
@@ -127,11 +128,13 @@
   void onBlocked(std::uint64_t Fingerprint, source Source, base::boot_time Now);
   void logBlocked(const poison::blocked_request &Block, source Source,
                   base::boot_time Now);
-  void logEnded(std::uint64_t Fingerprint, const char *Reason,
-                base::boot_time Now);
+  static const char *toReason(source Ender);
+  void logEnded(std::uint64_t Fingerprint, source Ender, base::boot_time Now);
   void putInForce(const routing::request_blocked &Block, source Source);
-  bool clear(std::uint64_t Fingerprint, const char *Reason, bool IsOwn,
-             base::boot_time Now);
+  bool clear(std::uint64_t Fingerprint, source Ender, base::boot_time Now);
+  void removeFromStore(std::uint64_t Fingerprint, source Ender,
+                       base::boot_time Now);
+  void forgetWrittenBlocks(base::boot_time Now);
   void noteEnded(std::uint64_t Fingerprint, const ended_block &Ended);
   void repeatNotices(base::boot_time Now);
   void runStoreTasks(bool IsRelay, base::boot_time Now);
@@ -151,6 +154,8 @@
   std::deque<repeated_notice> Notices;
   /// By fingerprint.
   std::map<std::uint64_t, store_task> StoreTasks;
+  /// Fingerprints of the blocks in force that this entry has stored.
+  std::set<std::uint64_t> WrittenBlocks;
   /// By fingerprint. None of them is in force.
   std::map<std::uint64_t, ended_block> EndedBlocks;
 };
--- a/tests/unit-gateway-crashes.cpp
+++ b/tests/unit-gateway-crashes.cpp
@@ -193,6 +193,67 @@
   CHECK(!Entries[1]->isBlocked());
 }
 
+// Guards against a call of every entry when a block ends: all of them learn of
+// it, so that the calls would grow with the fleet beyond what the store
+// accepts.
+TEST(gateway_crashes, TheEndOfABlockCostsFewCallsInFleetsOfAnySize) {
+  static constexpr std::size_t Relays = 9;
+  for (const std::size_t Size : {12, 300, 1000}) {
+    Entries.clear();
+    addEntries(Size);
+    for (auto &Entry : Entries)
+      Entry->adoptThreeCrashes();
+    Entries[Relays]->Guard.recordCompletion(Bad);
+    const auto Notice = overTheWire(Entries[Relays]->Published.at(0));
+    for (auto &Entry : Entries)
+      Entry->Guard.adopt(Notice, true);
+    const auto Now = base::boot_clock::now();
+    std::size_t Removals = 0;
+    for (std::size_t I = 0; I < Size; ++I) {
+      CHECK(!Entries[I]->isBlocked());
+      Entries[I]->Guard.tick(I < Relays, Now + 5s);
+      Removals += Entries[I]->Removed.size();
+    }
+    // The request has two fingerprints.
+    LONGS_EQUAL(2 * (1 + Relays), Removals);
+  }
+}
+
+// Guards against calls of the relays for an item that is gone already, and
+// against a call of every entry when an operator ends a block.
+TEST(gateway_crashes, AnItemThatIsGoneIsNotRemovedAgain) {
+  addEntries(2);
+  for (auto &Entry : Entries) {
+    Entry->Guard.onStoredBlock(storedBlock(Bad.OfCaller));
+    Entry->Guard.onStoredBlock(storedBlock(Bad.OfAnyCaller));
+  }
+  Entries[0]->Guard.recordCompletion(Bad);
+  Entries[1]->Guard.adopt(overTheWire(Entries[0]->Published.at(0)), true);
+  for (const std::uint64_t Fingerprint : {Bad.OfCaller, Bad.OfAnyCaller})
+    Entries[1]->Guard.onStoredBlockRemoved(Fingerprint, false);
+  Entries[1]->Guard.onStoredBlock(storedBlock(5));
+  Entries[1]->Guard.onStoredBlockRemoved(5, false);
+  Entries[1]->Guard.tick(true, base::boot_clock::now() + 5s);
+  LONGS_EQUAL(0, Entries[1]->Removed.size());
+}
+
+// Guards against a write that is still under way when the block ends elsewhere:
+// it would put the block in force again at all entries.
+TEST(gateway_crashes, AnEntryThatHasStoredABlockRemovesItWhenItEnds) {
+  addEntries(2);
+  Entries[0]->adoptThreeCrashes();
+  Entries[0]->Guard.tick(true, base::boot_clock::now() + 5s);
+  LONGS_EQUAL(2, Entries[0]->Written.size());
+  // The other entry knows two crashes, so that the request is not blocked there
+  // and it has nothing to remove.
+  for (const std::uint64_t Incarnation : {1, 2})
+    Entries[1]->Guard.adopt(overTheWire(crashesOf(Bad, Incarnation)), true);
+  Entries[1]->Guard.recordCompletion(Bad);
+  LONGS_EQUAL(0, Entries[1]->Removed.size());
+  Entries[0]->Guard.adopt(overTheWire(Entries[1]->Published.at(0)), true);
+  LONGS_EQUAL(2, Entries[0]->Removed.size());
+}
+
 // Guards against blocks that are forgotten when all entries are killed, and
 // against all entries writing the same block.
 TEST(gateway_crashes, TheEntryThatSeesTheLastCrashStoresTheBlock) {
