Tell denied callers to return at this entry's part of the rate of their quota

A caller beyond the quota of its team is told to return when the tokens of those denied before it have come. Each entry reckoned with the rate of the whole quota for its own callers, although all entries share it: together they told callers to return at as many times that rate as there are entries. At a rate of 60 a second, 300 entries with one denied caller each told all 300 to return after 250 ms, in which 15 tokens come; the others were denied again.

An entry now reckons with the tokens that it has used in the last second or the last five, whichever rate is greater, at least with an equal part of the rate and at most with all of it. So a team at one entry returns as before, and the parts of many entries add up to about the rate. The first callers that each entry denies are spread by a number that differs between entries. The longest delay stays 5 s.

ATeamAtOneEntryIsNotToldToWaitForTheOthers guards the opposite fault.

--- a/include/skylarkdyke/quotas/token_client.hpp
+++ b/include/skylarkdyke/quotas/token_client.hpp
@@ -48,6 +48,8 @@
   /// Live entries of the own region. A part stays with a live pool although
   /// another one is preferred for a moment.
   std::vector<base::endpoint> Live{};
+  /// Entries of all regions, this one included.
+  unsigned EntryCount = 1;
 };
 
 /// \brief A request to send.
@@ -112,6 +114,9 @@
     /// Requests denied lately; callers that return are spread over the time
     /// that their tokens take.
     admission::sliding_window_counter Denied;
+    /// Tokens used lately, over a short and a long time.
+    admission::sliding_window_counter Used;
+    admission::sliding_window_counter UsedLong;
     bool Asking = false;
     base::boot_time DeniedUntil{};
   };
@@ -128,7 +133,8 @@
   static double amountInAdvance(team_state &Team, base::boot_time Now);
   void add(team_key Team, const held_tokens &Held);
   std::optional<token> take(team_key Team, base::boot_time Now);
-  denial deny(team_state &Team, base::boot_time Now);
+  double ownRate(team_state &Team, base::boot_time Now) const;
+  denial deny(team_state &Team, base::boot_time Now) const;
   void askFor(team_key Team, base::boot_time Now);
   std::vector<base::endpoint> poolsToAsk() const;
   void startSearch(token_amounts Wanted, base::boot_time Now);
@@ -141,6 +147,9 @@
   token_request makeRequest(delegation_change Delegation);
 
   base::endpoint Own;
+  /// Number from 0 to 1 that differs between entries, so that the first callers
+  /// that each of them denies do not all return at the same time.
+  double Phase;
   std::uint32_t Sequence;
   pool_view View;
   std::map<team_key, team_state> Teams;
--- a/src/gateway/detail/quota_service.cpp
+++ b/src/gateway/detail/quota_service.cpp
@@ -77,9 +77,12 @@
     if (Member->Region == Settings.Region)
       View.Live.push_back(Member->Status.MeshAddress);
   View.Live.push_back(Settings.Mesh);
-  for (const base::region_name &Region : regions())
+  View.EntryCount = 0;
+  for (const base::region_name &Region : regions()) {
+    View.EntryCount += Members.holderCountOf(Region, Now);
     if (Region != Settings.Region)
       View.Remote.push_back(Members.relaysOf(Region));
+  }
   return View;
 }
 
--- a/src/quotas/token_client.cpp
+++ b/src/quotas/token_client.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <string>
 #include <utility>
+#include <xxhash.h>
 
 namespace skylarkdyke::quotas {
 
@@ -40,20 +42,28 @@
 /// Amounts are sums of fractions.
 static constexpr double Tolerance = 1e-6;
 
+static double phaseOf(const base::endpoint &Entry) {
+  const std::string Name = base::toString(Entry);
+  return std::ldexp(
+      static_cast<double>(XXH3_64bits(Name.data(), Name.size()) >> 11U), -53);
+}
+
 token_client::token_client(base::endpoint Own, std::uint32_t FirstSequence)
-    : Own(std::move(Own)), Sequence(FirstSequence) {}
+    : Own(std::move(Own)), Phase(phaseOf(this->Own)), Sequence(FirstSequence) {}
 
 void token_client::setLimits(const token_limits &Limits) {
   for (auto It = Teams.begin(); It != Teams.end();)
     It = Limits.count(It->first) == 0 ? Teams.erase(It) : std::next(It);
   for (const auto &[Team, Limit] : Limits)
     Teams
-        .try_emplace(Team,
-                     team_state{Limit,
-                                admission::sliding_window_counter(DemandTime),
-                                {},
-                                0,
-                                admission::sliding_window_counter(DemandTime)})
+        .try_emplace(
+            Team, team_state{Limit,
+                             admission::sliding_window_counter(DemandTime),
+                             {},
+                             0,
+                             admission::sliding_window_counter(DemandTime),
+                             admission::sliding_window_counter(DemandTime),
+                             admission::sliding_window_counter(MaxRetryAfter)})
         .first->second.Limit = Limit;
 }
 
@@ -104,13 +114,31 @@
     if (Held.Amount <= Tolerance)
       State.Held.pop_front();
   }
+  State.Used.add(Now);
+  State.UsedLong.add(Now);
   return Token;
 }
 
-denial token_client::deny(team_state &Team, base::boot_time Now) {
+static double ratePerSecond(admission::sliding_window_counter &Counter,
+                            nanoseconds Window, base::boot_time Now) {
+  return static_cast<double>(Counter.count(Now)) / seconds(Window).count();
+}
+
+/// Returns the tokens per second that this entry may expect: what it has used
+/// lately, as some entries get most requests of a team, and at least an equal
+/// part. The others use the rest of the rate.
+double token_client::ownRate(team_state &Team, base::boot_time Now) const {
+  const double UsedRate =
+      std::max(ratePerSecond(Team.Used, DemandTime, Now),
+               ratePerSecond(Team.UsedLong, MaxRetryAfter, Now));
+  const double EqualPart = Team.Limit.Rate / std::max(1U, View.EntryCount);
+  return std::max(std::clamp(UsedRate, EqualPart, Team.Limit.Rate), Tolerance);
+}
+
+denial token_client::deny(team_state &Team, base::boot_time Now) const {
+  const auto DeniedBefore = static_cast<double>(Team.Denied.count(Now));
   Team.Denied.add(Now);
-  const double Rate = std::max(Team.Limit.Rate, Tolerance);
-  const seconds TokenTime(static_cast<double>(Team.Denied.count(Now)) / Rate);
+  const seconds TokenTime((DeniedBefore + Phase) / ownRate(Team, Now));
   const seconds Limited = std::min<seconds>(TokenTime, MaxRetryAfter);
   return {std::max<nanoseconds>(
       std::chrono::duration_cast<nanoseconds>(Limited), MinRetryAfter)};
--- a/tests/support/quota_fleet.cpp
+++ b/tests/support/quota_fleet.cpp
@@ -131,7 +131,9 @@
   Node.Pool->update({Holders, 3}, Time);
   quotas::pool_view View;
   View.MayDelegate = !Table.hasHeardNone(Time);
+  View.EntryCount = 0;
   for (const char *Region : {"p", "q", "r"}) {
+    View.EntryCount += Table.holderCountOf(base::region_name(Region), Time);
     const auto Relays = Table.relaysOf(base::region_name(Region));
     if (regionOf(Index).str() != Region)
       View.Remote.push_back(Relays);
--- a/tests/unit-shared-limits.cpp
+++ b/tests/unit-shared-limits.cpp
@@ -2,10 +2,13 @@
 #include "skylarkdyke/admission/retry_allowance.hpp"
 #include "skylarkdyke/membership/relay_selection.hpp"
 #include "skylarkdyke/poison/crash_register.hpp"
+#include "skylarkdyke/quotas/token_client.hpp"
 #include "skylarkdyke/quotas/token_pool.hpp"
 #include "support/entry_fleet.hpp"
 
+#include <algorithm>
 #include <array>
+#include <cmath>
 #include <deque>
 #include <random>
 #include <string>
@@ -106,6 +109,56 @@
     }
 }
 
+// Guards against entries that each tell callers beyond a quota to return at the
+// rate of the whole quota: most would be denied again.
+TEST(shared_limits, DeniedCallersReturnAtTheRateOfTheQuotaInFleetsOfAnySize) {
+  static constexpr quotas::team_key Team = 7;
+  static constexpr double Rate = 60;
+  for (const unsigned Entries : FleetSizes) {
+    std::vector<milliseconds> Delays;
+    for (unsigned I = 0; I < Entries; ++I) {
+      quotas::token_client Client(
+          {"10.0.0.1", static_cast<std::uint16_t>(I + 1)}, 1);
+      Client.setLimits({{Team, {Rate, 20, 5}}});
+      Client.tick({{}, {}, true, {}, Entries}, Start);
+      const auto Result = Client.acquire(Team, Start);
+      Delays.push_back(std::chrono::duration_cast<milliseconds>(
+          std::get<quotas::denial>(Result).RetryAfter));
+    }
+    for (const milliseconds Time : {250ms, 1000ms, 2000ms, 4000ms}) {
+      const auto Returned =
+          std::count_if(Delays.begin(), Delays.end(),
+                        [Time](milliseconds Delay) { return Delay <= Time; });
+      // The entries return at random: four standard deviations are added.
+      const double Served = Rate * inSeconds(Time);
+      CHECK_COMPARE(static_cast<double>(Returned), <=,
+                    Served + 4 * std::sqrt(Served));
+    }
+  }
+}
+
+// Guards against callers that wait for the parts of entries to which their team
+// sends nothing.
+TEST(shared_limits, ATeamAtOneEntryIsNotToldToWaitForTheOthers) {
+  static constexpr quotas::team_key Team = 7;
+  static constexpr unsigned Rate = 60;
+  const base::endpoint Pool{"10.0.0.2", 8649};
+  quotas::token_client Client({"10.0.0.1", 8649}, 1);
+  Client.setLimits({{Team, {Rate, 20, 5}}});
+  Client.tick({{Pool}, {}, true, {}, 300}, Start);
+  Client.takeOutgoing();
+  Client.acquire(Team, Start);
+  Client.handle(
+      {Client.takeOutgoing().front().Request.Sequence, {{Team, Rate}}}, Start);
+  CHECK(std::holds_alternative<quotas::token>(Client.resume(Team, Start)));
+  for (unsigned Used = 1; Used < Rate; ++Used)
+    CHECK(std::holds_alternative<quotas::token>(Client.acquire(Team, Start)));
+  Client.acquire(Team, Start);
+  Client.handle({Client.takeOutgoing().front().Request.Sequence, {}}, Start);
+  const auto Denied = std::get<quotas::denial>(Client.resume(Team, Start));
+  CHECK(Denied.RetryAfter <= 250ms);
+}
+
 /// Returns how often a request that ends targets is sent after a block of it
 /// has ended, until all entries block it again. It arrives ten times a second,
 /// each time at another entry.
