Revert "Keep no idle connections to a target that accepts fewer than one an entry"

shared_limits 7 of 7, gateway_state 18 of 18, gateway_channel_pool 1 of 1 and gateway_crashes 24 of 24 pass.

--- a/src/gateway/detail/channel_pool.cpp
+++ b/src/gateway/detail/channel_pool.cpp
@@ -12,7 +12,7 @@
   if (!MaxConnections)
     return MaxIdlePerTarget;
   const std::size_t Share = *MaxConnections / std::max(1U, EntryCount);
-  return std::min(Share, MaxIdlePerTarget);
+  return std::clamp(Share, std::size_t{1}, MaxIdlePerTarget);
 }
 
 std::shared_ptr<net::http_channel>
--- a/src/gateway/detail/channel_pool.hpp
+++ b/src/gateway/detail/channel_pool.hpp
@@ -15,8 +15,7 @@
 
 /// \brief Returns the number of idle connections that an entry may keep to a
 /// target, so that the connections of all entries fit the connection limit of
-/// the target; 0 if the target accepts fewer connections than there are
-/// entries, so that each request opens one.
+/// the target.
 /// \param MaxConnections connections that the target accepts from all
 /// entries; nothing if the limit is unknown
 /// \param EntryCount number of entries that share the target, this one
