--- a/tests/unit-membership-claims.cpp
+++ b/tests/fleet-membership-claims.cpp
@@ -303,3 +303,20 @@
   Fleet.observe(30s);
   checkClaims(Fleet);
 }
+
+// Guards against slots that are lost because they belong to entries without
+// callers while another entry has all the demand.
+TEST(membership_claims, SlotsFollowTheDemandInALargeRegion) {
+  claiming_fleet Fleet(90, 0);
+  for (auto &Entry : Fleet.Entries)
+    Entry.Own.Demand.clear();
+  Fleet.Entries[9].Own.Demand[Service] = 50;
+  Fleet.run(16s);
+  const limit_division Division =
+      Fleet.Entries[9].Table->limitDivision(Fleet.Now);
+  const double Own = Division.Own.of(Service);
+  double Total = Own;
+  for (const auto &Other : Division.Others)
+    Total += Other.Weights.of(Service);
+  CHECK(Own >= Total / 2);
+}
