Tell callers of the end of a cold time where no slot is in sight

A caller with only cold targets got a Retry-After that fell evenly to zero and began again, although the entry had no slot: the end of the search for one was taken for a slot. Below 150 ms requests waited for it in vain.

A search without a result now says so, and the caller gets the end of the cold time. WithoutASlotCallersWaitForTheEndOfTheColdTime checks it.

--- a/include/skylarkdyke/placement/send_slots.hpp
+++ b/include/skylarkdyke/placement/send_slots.hpp
@@ -73,7 +73,7 @@
 
 /// \brief Slots of a rate. They begin at even intervals and overlap, so that
 /// entries with few requests use theirs too: a target gets at most the requests
-/// of one and a half seconds, or two requests, within a second.
+/// of one and a half seconds, rounded up, or two requests, within a second.
 class slot_sequence {
 public:
   /// \param Origin start of the slot with the index 0
--- a/include/skylarkdyke/placement/target_registry.hpp
+++ b/include/skylarkdyke/placement/target_registry.hpp
@@ -57,11 +57,13 @@
   Cancelled,
 };
 
-/// \brief A slot of this entry in a rate that all entries divide.
+/// \brief Result of a search for the next slot of this entry in a rate that all
+/// entries divide.
 struct target_slot {
+  /// Without a slot, the time from which none was searched.
   base::boot_time Start;
-  /// Equal to Start if the search found no slot before that time.
   base::boot_time End;
+  bool Found = false;
   /// Interval of the slots that were searched.
   std::chrono::nanoseconds Interval{0};
   /// Version of the division for which it was found.
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -39,14 +39,14 @@
 static constexpr milliseconds MinColdRetryAfter{5};
 /// Rate of sends of all entries together to a cold target whose service states
 /// none, in requests per second.
-static constexpr double UnstatedColdRate = 0.1;
+static constexpr double UnstatedColdRate = 1;
 /// Rate of first uses of all entries together, per target and second.
 static constexpr double FirstUsesPerSecond = 4;
-/// Number of slots ahead that are searched for one of this entry. They last
-/// longer than most cold times.
+/// Number of slots ahead that are searched for one of this entry.
 static constexpr int MaxSlotsAhead = 32;
-/// Accuracy with which the start of a slot is known while the wall clock is
-/// adjusted, so that none is used twice.
+/// Least time from a send to the start of a slot that may be used after it. The
+/// start moves a little while the wall clock is adjusted, and a slot that has
+/// been used must not seem to be a later one.
 static constexpr milliseconds SlotTolerance{20};
 /// Age from which a target that joined and is still unused gets a request
 /// regardless of its cost. The delay gives the target time to settle.
@@ -253,8 +253,8 @@
                                            : UnstatedColdRate;
 }
 
-/// Returns the first slot of this entry that has not ended and is not used, of
-/// those that are searched; or the end of the search.
+/// Returns the first slot of this entry that has not ended and is not used, if
+/// one is found.
 target_slot placer::findSlot(const target_state &State,
                              const routing::service &Service,
                              const slot_sequence &Slots,
@@ -266,14 +266,15 @@
                            Slot.Start > State.LastSendAt + SlotTolerance;
     if (MayBeUsed &&
         ownsSlot(Division, OwnRegion, Service.Name, Target, Slot.Index))
-      return {Slot.Start, Slot.End, Slots.interval(), DivisionVersion};
+      return {Slot.Start, Slot.End, true, Slots.interval(), DivisionVersion};
     Slot = Slots.at(Slot.Index + 1);
   }
-  return {Slot.Start, Slot.Start, Slots.interval(), DivisionVersion};
+  return {Slot.Start, Slot.Start, false, Slots.interval(), DivisionVersion};
 }
 
 /// Returns the time from which this entry may send to a target at a rate that
-/// all entries divide; the current time or an earlier one if it may do so now.
+/// all entries divide: the current time or an earlier one if it may do so now,
+/// boot_time::max() if no slot of it is in sight.
 base::boot_time placer::nextSendAt(target_state &State,
                                    const routing::service &Service, double Rate,
                                    base::boot_time Now) const {
@@ -284,7 +285,7 @@
       Known.Start <= State.LastSendAt + SlotTolerance ||
       Known.Start < State.RestsUntil)
     State.NextSlot = findSlot(State, Service, Slots, Now);
-  return State.NextSlot.Start;
+  return State.NextSlot.Found ? State.NextSlot.Start : base::boot_time::max();
 }
 
 double placer::partOfColdRate(const target_state &State,
@@ -300,6 +301,7 @@
 }
 
 /// Returns whether it is this entry's turn to use a target for the first time.
+/// A candidate that is cold has a slot already.
 bool placer::mayUseFirst(target_state &State, const routing::service &Service,
                          base::boot_time Now) const {
   return target_registry::isCold(State, Now) ||
--- a/tests/unit-placement-placer.cpp
+++ b/tests/unit-placement-placer.cpp
@@ -290,6 +290,22 @@
     }
 }
 
+// Guards against callers that are told of a slot which does not exist.
+TEST(placement_placer, WithoutASlotCallersWaitForTheEndOfTheColdTime) {
+  auto Cold = makeTarget("cold", NorthA);
+  Cold.RemainingColdTime = 60s;
+  Registry.upsert(Cold, Now);
+  auto Division = divisionOf(0, {1});
+  Division.Own = {seedOf(0), 0, {}};
+  Placer.setRateDivision(std::move(Division));
+  for (auto Left = 60000ms; Left > 100ms; Left -= 97ms, Now += 97ms) {
+    const auto Result = Placer.choose(query(1), Now);
+    const auto &None = std::get<placement::no_target>(Result);
+    CHECK(None.Reason == placement::no_target_reason::ColdLimit);
+    CHECK(None.RetryAfter == Left);
+  }
+}
+
 // Guards against refusals while other regions have warm targets.
 TEST(placement_placer, ARegionOfColdTargetsLeavesRequestsToOthers) {
   auto Cold = makeTarget("cold", NorthA);
