Let targets that may be cold rest seldom, and keep a rest that runs

Found in the review by reading. While the store is silent, a target that is late to answer checks again and again would get nothing for a second each time; it now rests at most once in about 10 s, and its cold rate holds otherwise. An entry that reaches a target for the first time after it could not ended a rest that had begun on another's word; it now keeps it.

--- a/src/placement/target_registry.cpp
+++ b/src/placement/target_registry.cpp
@@ -57,6 +57,9 @@
 /// entries knew.
 static constexpr milliseconds RestTime{1000};
 
+/// Time after a rest in which a target that only may be cold does not rest.
+static constexpr milliseconds MinTimeBetweenRests{10000};
+
 static const std::vector<target_state *> EmptyTargets;
 
 target_registry::target_registry(
@@ -152,7 +155,9 @@
   }
   if (MayBeCold && Until <= State->MayBeColdUntil + MayBeColdTolerance)
     return false;
-  startRest(*State, Now);
+  // A target that is late again and again would rest most of the time.
+  if (Now > State->RestsUntil + MinTimeBetweenRests)
+    startRest(*State, Now);
   State->MayBeColdUntil = Until;
   return true;
 }
@@ -304,9 +309,10 @@
     State->ConsecutiveFailures = 0;
     if (State->MayHaveRestarted) {
       State->MayHaveRestarted = false;
+      // This entry has not reached it before.
+      const base::boot_time RestsUntil = State->RestsUntil;
       markCold(*State, std::max(State->ColdUntil, Now + ColdTime), Now);
-      // It could not be reached before.
-      State->RestsUntil = base::boot_time{};
+      State->RestsUntil = RestsUntil;
     }
     return;
   case send_result::Cancelled:
