Say in ColdNewsLate whether the sends went to the same incarnation

A target that restarts is known by its old start until its new record arrives, so that the line alone does not show that the target was cold.

--- a/src/gateway/detail/steering_state.cpp
+++ b/src/gateway/detail/steering_state.cpp
@@ -151,7 +151,7 @@
     return;
   SKYLARKDYKE_LOG(INFO, ColdNewsLate)
       << "target=" << Target.Id.str() << " started_ms=" << Target.StartedAtMs
-      << " sent_ago_ms="
+      << " known_started_ms=" << Known->Target.StartedAtMs << " sent_ago_ms="
       << std::chrono::duration_cast<milliseconds>(Now - Known->LastSendAt)
              .count()
       << " cold_ms=" << Target.RemainingColdTime.count();
