--- a/tests/unit-placement-cold-fleet.cpp
+++ b/tests/unit-placement-cold-fleet.cpp
@@ -25,6 +25,13 @@
             CHECK(Fleet.mostInASecondWhileCold(Id) <= MaxInASecond);
 }
 
+/// Checks that the targets got at least half of what their rate allows.
+static void checkUse(const placer_fleet &Fleet,
+                     std::chrono::duration<double> Time) {
+  for (const std::string &Id : ColdTargets)
+    CHECK(Fleet.sentTo(Id) >= Time.count() * placer_fleet::ColdRate / 2);
+}
+
 static void addColdTargets(placer_fleet &Fleet,
                            std::chrono::milliseconds ColdTime) {
   for (const std::string &Id : ColdTargets)
@@ -52,8 +59,7 @@
       addColdTargets(Fleet, 4s);
       Fleet.run(4s, std::max(10.0, 40.0 / static_cast<double>(Size)));
       checkBound(Fleet);
-      for (const std::string &Id : ColdTargets)
-        CHECK(Fleet.sentTo(Id) >= 4 * placer_fleet::ColdRate / 2);
+      checkUse(Fleet, 4s);
       for (const auto RetryAfter : Fleet.Refusals)
         CHECK(RetryAfter > 0ms && RetryAfter <= 4s);
     }
@@ -69,6 +75,7 @@
       addColdTargets(Fleet, 4s);
       Fleet.run(4s, 10);
       checkBound(Fleet);
+      checkUse(Fleet, 4s);
     }
 }
 
@@ -93,8 +100,7 @@
       addColdTargets(Fleet, 4s);
       Fleet.run(4s, 10);
       checkBound(Fleet);
-      for (const std::string &Id : ColdTargets)
-        CHECK(Fleet.sentTo(Id) >= 4 * placer_fleet::ColdRate / 2);
+      checkUse(Fleet, 4s);
     }
 }
 
@@ -111,6 +117,7 @@
       removeWarmTargets(Fleet, 60);
       Fleet.run(3s, 10);
       checkBound(Fleet);
+      checkUse(Fleet, 3s);
     }
 }
 
@@ -123,6 +130,7 @@
       addColdTargets(Fleet, 4s);
       Fleet.run(4s, 10);
       checkBound(Fleet);
+      checkUse(Fleet, 4s);
     }
 }
 
@@ -173,5 +181,6 @@
       addColdTargets(Fleet, 10s);
       Fleet.run(10s, 10);
       checkBound(Fleet);
+      checkUse(Fleet, 10s);
     }
 }
