Bound the interval of slots, and search them from the first usable one

Found while reading the diff. A cold rate above 1e9 a second in a configuration made the interval 0, by which the entry divides, and one near 0 overflowed it: the process would end. At high rates, from some 60 a second, the 32 slots that are searched all lay before the latest send, so that an entry found none for most of half a second.

The interval is kept between a microsecond and an hour, and the search starts at the first slot that may be used. OddRatesHaveSlotsToo and ALoneEntryUsesAHighColdRate (at least 150 of 200 in 2 s) were written with the change; they were not run on the code before.

--- a/include/skylarkdyke/placement/send_slots.hpp
+++ b/include/skylarkdyke/placement/send_slots.hpp
@@ -77,16 +77,21 @@
 class slot_sequence {
 public:
   /// \param Origin start of the slot with the index 0
-  /// \param RequestsPerSecond positive rate
+  /// \param RequestsPerSecond positive rate; the interval is bounded to between
+  /// a microsecond and an hour
   slot_sequence(base::boot_time Origin, double RequestsPerSecond);
 
   /// \return time between the starts of consecutive slots
   std::chrono::nanoseconds interval() const { return Interval; }
   send_slot at(std::int64_t Index) const;
+  /// \return the first slot that starts at a time or later
+  send_slot firstFrom(base::boot_time Time) const;
   /// \return the earliest slot that has not ended
   send_slot earliestAt(base::boot_time Now) const;
 
 private:
+  std::chrono::nanoseconds length() const;
+
   base::boot_time Origin;
   std::chrono::nanoseconds Interval;
 };
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -44,9 +44,9 @@
 static constexpr double FirstUsesPerSecond = 4;
 /// Number of slots ahead that are searched for one of this entry.
 static constexpr int MaxSlotsAhead = 32;
-/// Least time from a send to the start of a slot that may be used after it. The
-/// start moves a little while the wall clock is adjusted, and a slot that has
-/// been used must not seem to be a later one.
+/// Longest time from a send to the start of a slot that may be used after it.
+/// The start moves a little while the wall clock is adjusted, and a slot that
+/// has been used must not seem to be a later one.
 static constexpr milliseconds SlotTolerance{20};
 /// Age from which a target that joined and is still unused gets a request
 /// regardless of its cost. The delay gives the target time to settle.
@@ -253,6 +253,14 @@
                                            : UnstatedColdRate;
 }
 
+/// Returns the time before which the slots of this entry that have started
+/// count as used.
+static base::boot_time usedUntil(const target_state &State,
+                                 const slot_sequence &Slots) {
+  return State.LastSendAt +
+         std::min<nanoseconds>(SlotTolerance, Slots.interval() / 4);
+}
+
 /// Returns the first slot of this entry that has not ended and is not used, if
 /// one is found.
 target_slot placer::findSlot(const target_state &State,
@@ -260,12 +268,11 @@
                              const slot_sequence &Slots,
                              base::boot_time Now) const {
   const slot_target Target{State.Region, incarnationSeed(State)};
-  send_slot Slot = Slots.earliestAt(Now);
+  send_slot Slot =
+      Slots.firstFrom(std::max({Slots.earliestAt(Now).Start, State.RestsUntil,
+                                usedUntil(State, Slots)}));
   for (int Ahead = 0; Ahead < MaxSlotsAhead; ++Ahead) {
-    const bool MayBeUsed = Slot.Start >= State.RestsUntil &&
-                           Slot.Start > State.LastSendAt + SlotTolerance;
-    if (MayBeUsed &&
-        ownsSlot(Division, OwnRegion, Service.Name, Target, Slot.Index))
+    if (ownsSlot(Division, OwnRegion, Service.Name, Target, Slot.Index))
       return {Slot.Start, Slot.End, true, Slots.interval(), DivisionVersion};
     Slot = Slots.at(Slot.Index + 1);
   }
@@ -282,8 +289,7 @@
   const target_slot &Known = State.NextSlot;
   if (Known.DivisionVersion != DivisionVersion ||
       Known.Interval != Slots.interval() || Known.End <= Now ||
-      Known.Start <= State.LastSendAt + SlotTolerance ||
-      Known.Start < State.RestsUntil)
+      Known.Start < usedUntil(State, Slots) || Known.Start < State.RestsUntil)
     State.NextSlot = findSlot(State, Service, Slots, Now);
   return State.NextSlot.Found ? State.NextSlot.Start : base::boot_time::max();
 }
--- a/src/placement/send_slots.cpp
+++ b/src/placement/send_slots.cpp
@@ -14,6 +14,9 @@
 
 /// Shortest time in which a slot can be used.
 static constexpr std::chrono::milliseconds MinSlotLength{500};
+/// Bounds of the interval between slots, so that no odd rate overflows.
+static constexpr std::chrono::microseconds MinInterval{1};
+static constexpr std::chrono::hours MaxInterval{1};
 
 double rate_holder::weightFor(const base::service_name &Service) const {
   const auto Found = WeightByService.find(Service.str());
@@ -72,24 +75,34 @@
   return Next;
 }
 
+static nanoseconds intervalOf(double RequestsPerSecond) {
+  const std::chrono::duration<double> Interval(1 / RequestsPerSecond);
+  return std::chrono::duration_cast<nanoseconds>(
+      std::clamp<std::chrono::duration<double>>(Interval, MinInterval,
+                                                MaxInterval));
+}
+
 slot_sequence::slot_sequence(base::boot_time Origin, double RequestsPerSecond)
-    : Origin(Origin),
-      Interval(std::chrono::duration_cast<nanoseconds>(
-          std::chrono::duration<double>(1 / RequestsPerSecond))) {}
+    : Origin(Origin), Interval(intervalOf(RequestsPerSecond)) {}
+
+nanoseconds slot_sequence::length() const {
+  return std::max<nanoseconds>(Interval, MinSlotLength);
+}
 
 send_slot slot_sequence::at(std::int64_t Index) const {
   const base::boot_time Start = Origin + Index * Interval;
-  return {Index, Start, Start + std::max<nanoseconds>(Interval, MinSlotLength)};
+  return {Index, Start, Start + length()};
+}
+
+send_slot slot_sequence::firstFrom(base::boot_time Time) const {
+  // The origin may lie after the time, so that the quotient may be negative.
+  const nanoseconds Elapsed = Time - Origin;
+  const std::int64_t Index = Elapsed / Interval;
+  return at(Index * Interval < Elapsed ? Index + 1 : Index);
 }
 
 send_slot slot_sequence::earliestAt(base::boot_time Now) const {
-  // The origin may lie after Now, so that the quotient may be negative.
-  const nanoseconds Length = std::max<nanoseconds>(Interval, MinSlotLength);
-  const nanoseconds Elapsed = Now - Length - Origin;
-  std::int64_t Index = Elapsed / Interval;
-  if (Elapsed % Interval < nanoseconds(0))
-    --Index;
-  return at(Index + 1);
+  return firstFrom(Now - length() + nanoseconds(1));
 }
 
 /// Returns whether a slot in a region without entries falls to the own region.
--- a/tests/unit-placement-placer.cpp
+++ b/tests/unit-placement-placer.cpp
@@ -290,6 +290,25 @@
     }
 }
 
+// Guards against a high cold rate of which most is not used.
+TEST(placement_placer, ALoneEntryUsesAHighColdRate) {
+  Service.ColdRequestsPerSecond = 100;
+  auto Cold = makeTarget("cold", NorthA);
+  Cold.RemainingColdTime = 60s;
+  Registry.upsert(Cold, Now);
+  Placer.setRateDivision(divisionOf(0, {}));
+  int Sent = 0;
+  for (int Step = 0; Step < 1000; ++Step, Now += 2ms)
+    if (!choose(query(1)).empty()) {
+      ++Sent;
+      Registry.beginSend(base::target_id("cold"), Now);
+      Registry.endSend(base::target_id("cold"), send_result::Answered, 0ms,
+                       Now);
+    }
+  CHECK(Sent >= 150);
+  CHECK(Sent <= 2 * 100 * 1.5);
+}
+
 // Guards against callers that are told of a slot which does not exist.
 TEST(placement_placer, WithoutASlotCallersWaitForTheEndOfTheColdTime) {
   auto Cold = makeTarget("cold", NorthA);
--- a/tests/unit-placement-send-slots.cpp
+++ b/tests/unit-placement-send-slots.cpp
@@ -99,3 +99,14 @@
     }
   }
 }
+
+// Guards against a rate in a configuration that ends the process.
+TEST(placement_send_slots, OddRatesHaveSlotsToo) {
+  const base::boot_time Now{1h};
+  for (const double Rate : {1e-300, 1e-9, 1e9, 1e300}) {
+    const slot_sequence Slots(base::boot_time{-500000h}, Rate);
+    const auto Slot = Slots.earliestAt(Now);
+    CHECK(Slot.End > Now);
+    CHECK(Slot.Start <= Now);
+  }
+}
