Let targets that only may be cold rest no more

Callers were refused while the store was silent: system_serve_poison.

Cause: when many targets are late to answer their checks at once, each of them rested for a second, so that no target was left. A rest is meant for sends to a target that was cold and not known to be; a mere suspicion bounds them by slots already.

--- a/src/placement/target_registry.cpp
+++ b/src/placement/target_registry.cpp
@@ -57,9 +57,6 @@
 /// entries knew.
 static constexpr milliseconds RestTime{1000};
 
-/// Time after a rest in which a target that only may be cold does not rest.
-static constexpr milliseconds MinTimeBetweenRests{10000};
-
 static const std::vector<target_state *> EmptyTargets;
 
 target_registry::target_registry(
@@ -155,9 +152,6 @@
   }
   if (MayBeCold && Until <= State->MayBeColdUntil + MayBeColdTolerance)
     return false;
-  // A target that is late again and again would rest most of the time.
-  if (Now > State->RestsUntil + MinTimeBetweenRests)
-    startRest(*State, Now);
   State->MayBeColdUntil = Until;
   return true;
 }
